Add the thin whole path: entry daemon, operators' RPC, stand-ins and demo

Cause: an empty repository. A request had to cross every part for real before any part was made thick.

What is here: one daemon for each entry VM (callers over HTTP, operators over gRPC, configuration followed from the table), decision modules without I/O for configuration, claims, chains and answer progress, stand-ins for the table, a model stage and a plain service, and tools/demo.

Ruled out on the way: braced temporaries and the conditional operator inside co_await expressions. g++ 12 miscompiles both ("array used as initializer", and a double free seen in the service handler when a conditional expression awaited either of two coroutines); the arguments are built in statements of their own.

No tests yet.

--- /dev/null
+++ b/include/sycamoreford/adapters/http_client.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "sycamoreford/adapters/http_message.h"
+#include "sycamoreford/core/failure.h"
+
+namespace sycamoreford {
+
+/// The response to one request, on a connection of its own that is never
+/// used again, so that no late answer can reach another request.
+///
+/// Thread safety: belongs to one coroutine. Destroying it closes the
+/// connection, which cancels the work at the other end.
+class HttpCall {
+ public:
+  /// Connects, sends the request and receives the response header.
+  ///
+  /// \param address IP address and port.
+  /// \returns the open call. Errors: `kConnectionRefused` (not run) when no
+  ///     connection was made; `kConnectionLost`, `kStalled` or
+  ///     `kBadEndpointAnswer` (unknown) after bytes were sent.
+  [[nodiscard]] static boost::asio::awaitable<Result<HttpCall>> Open(
+      const std::string& address,
+      const HttpRequest& request,
+      std::chrono::milliseconds connect_timeout,
+      std::chrono::milliseconds header_timeout);
+
+  HttpCall(HttpCall&&) noexcept;
+  HttpCall& operator=(HttpCall&&) noexcept;
+  ~HttpCall();
+
+  [[nodiscard]] unsigned status() const noexcept;
+  [[nodiscard]] const HttpFields& fields() const noexcept;
+
+  /// Reads the next bytes of the body.
+  ///
+  /// \returns the bytes, or nothing at the proper end of the message. Errors
+  ///     as for `Open`.
+  [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
+  ReadSome(std::chrono::milliseconds timeout);
+
+  /// Reads the rest of the body.
+  ///
+  /// \param limit most bytes to accept; more is `kBadEndpointAnswer`.
+  [[nodiscard]] boost::asio::awaitable<Result<std::string>> ReadAll(
+      std::size_t limit,
+      std::chrono::milliseconds timeout);
+
+ private:
+  struct State;
+  explicit HttpCall(std::unique_ptr<State> state);
+  std::unique_ptr<State> state_;
+};
+
+/// Sends a request and reads the whole response; errors as for `HttpCall`.
+[[nodiscard]] boost::asio::awaitable<Result<HttpResponse>> FetchHttp(
+    const std::string& address,
+    const HttpRequest& request,
+    std::chrono::milliseconds timeout,
+    std::size_t limit);
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/adapters/http_engine_client.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "sycamoreford/adapters/http_client.h"
+#include "sycamoreford/stream/engine_client.h"
+
+namespace sycamoreford {
+
+/// Model engines over HTTP and lines of JSON; see docs/INTERFACES.md.
+/// Models `EngineClient`. Thread safe; a stream belongs to one coroutine.
+class HttpEngineClient {
+ public:
+  /// One attempt on a connection of its own.
+  class Stream {
+   public:
+    Stream(HttpCall call, std::string address);
+
+    [[nodiscard]] boost::asio::awaitable<Result<EngineEvent>> Next(
+        std::chrono::milliseconds timeout);
+
+   private:
+    HttpCall call_;
+    std::string address_;
+    std::string pending_;
+  };
+
+  /// \param connect_timeout bound for making a connection.
+  explicit HttpEngineClient(std::chrono::milliseconds connect_timeout);
+
+  [[nodiscard]] boost::asio::awaitable<Result<Stream>> Open(
+      const GenerateOrder& order,
+      std::chrono::milliseconds timeout);
+
+ private:
+  std::chrono::milliseconds connect_timeout_;
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/adapters/http_limits.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace sycamoreford {
+
+/// Bounds on what an HTTP peer may send and how long it may take.
+struct HttpLimits {
+  /// Bytes of all header fields together.
+  std::uint32_t header_bytes = 16U * 1024;
+  /// Bytes of a body.
+  std::uint64_t body_bytes = 1024UL * 1024;
+  /// Time to receive a header, also on an idle kept-alive connection.
+  std::chrono::milliseconds idle_timeout{30'000};
+  /// Time to receive a body.
+  std::chrono::milliseconds body_timeout{30'000};
+  /// Time for one write to leave.
+  std::chrono::milliseconds write_timeout{30'000};
+  /// Connections at once; further ones are closed on arrival.
+  std::size_t connections = 4096;
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/adapters/http_message.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sycamoreford {
+
+/// Header fields of an HTTP message, in order.
+class HttpFields {
+ public:
+  /// Adds a field.
+  void Add(std::string name, std::string value) {
+    fields_.emplace_back(std::move(name), std::move(value));
+  }
+  /// Value of the first field of that name, compared without case; empty when
+  /// there is none.
+  [[nodiscard]] std::string_view Get(std::string_view name) const noexcept;
+  [[nodiscard]] auto begin() const noexcept { return fields_.begin(); }
+  [[nodiscard]] auto end() const noexcept { return fields_.end(); }
+
+ private:
+  std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+/// A whole HTTP request.
+struct HttpRequest {
+  std::string method = "GET";
+  /// Path and query.
+  std::string target = "/";
+  HttpFields fields{};
+  std::string body{};
+};
+
+/// A whole HTTP response.
+struct HttpResponse {
+  unsigned status = 200;
+  std::string content_type = "application/json";
+  HttpFields fields{};
+  std::string body{};
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/adapters/http_server.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "sycamoreford/adapters/http_limits.h"
+#include "sycamoreford/adapters/http_message.h"
+#include "sycamoreford/core/failure.h"
+
+namespace sycamoreford {
+
+/// One request of a caller and the means to answer it.
+///
+/// Thread safety: belongs to the coroutine that handles it.
+class HttpExchange {
+ public:
+  virtual ~HttpExchange() = default;
+
+  [[nodiscard]] virtual const HttpRequest& request() const noexcept = 0;
+
+  /// Sends a whole response. Precondition: nothing was sent yet.
+  virtual boost::asio::awaitable<void> Respond(HttpResponse response) = 0;
+
+  /// Sends the header of a chunked response; its body is ignored.
+  /// Precondition: nothing was sent yet.
+  virtual boost::asio::awaitable<void> BeginStream(HttpResponse header) = 0;
+
+  /// Sends one chunk. Precondition: `BeginStream` was called.
+  virtual boost::asio::awaitable<void> SendChunk(std::string_view bytes) = 0;
+
+  /// Ends a chunked response. Without it the caller sees a cut answer.
+  virtual boost::asio::awaitable<void> EndStream() = 0;
+
+  /// Whether any byte of a response was sent.
+  [[nodiscard]] virtual bool is_answered() const noexcept = 0;
+};
+
+/// Handles one exchange. It is cancelled when the caller goes away.
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
+
+/// An HTTP/1.1 server with kept-alive connections and bounded input.
+///
+/// Thread safety: `Close` and `CloseIdle` may be called from any thread.
+class HttpServer {
+ public:
+  /// Binds and starts to accept.
+  ///
+  /// \param address IP address and port; port 0 picks a free one.
+  /// \throws std::system_error when the address can not be bound.
+  HttpServer(boost::asio::io_context& context,
+             const std::string& address,
+             HttpLimits limits,
+             HttpHandler handler);
+  ~HttpServer();
+
+  /// The bound IP address and port.
+  [[nodiscard]] std::string address() const;
+
+  /// Number of exchanges being handled.
+  [[nodiscard]] std::size_t active() const noexcept;
+
+  /// Stops accepting and ends kept-alive connections after their present
+  /// exchange.
+  void Close();
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/config/configuration.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sycamoreford/core/failure.h"
+#include "sycamoreford/core/strong_id.h"
+#include "sycamoreford/v1/config.pb.h"
+
+namespace sycamoreford {
+
+/// Kind and name of a resource.
+using ResourceKey = std::pair<v1::Kind, std::string>;
+
+/// The whole configuration at one revision. Immutable once shared.
+///
+/// Thread safety: const methods may be called from any thread.
+class Configuration {
+ public:
+  /// The empty configuration, at revision 0.
+  Configuration() = default;
+
+  /// Builds a configuration from a snapshot.
+  ///
+  /// \returns the configuration, or `kInvalidChange` when the snapshot is not
+  ///     valid or its digest does not match its content.
+  [[nodiscard]] static Result<Configuration> FromSnapshot(
+      const v1::Snapshot& snapshot);
+
+  /// The configuration that follows from applying all edits of `change`.
+  ///
+  /// \returns the next configuration, whole and validated. Errors:
+  ///     `kConflict` when the change does not follow this revision or an
+  ///     edit's expected revision differs; `kAlreadyExists`; `kNotFound`;
+  ///     `kInvalidChange` with the place in `where`.
+  [[nodiscard]] Result<Configuration> Apply(const v1::Change& change) const;
+
+  [[nodiscard]] Revision revision() const noexcept { return revision_; }
+
+  /// Digest of revision and content; equal on all daemons.
+  [[nodiscard]] std::uint64_t digest() const noexcept { return digest_; }
+
+  /// Finds a resource; null when there is none.
+  [[nodiscard]] const v1::Resource* Find(v1::Kind kind,
+                                         const std::string& name) const;
+
+  /// All resources of a kind, or of every kind for `KIND_UNSPECIFIED`, in the
+  /// order of kind and name.
+  [[nodiscard]] std::vector<const v1::Resource*> List(v1::Kind kind) const;
+
+  /// This configuration as a message.
+  [[nodiscard]] v1::Snapshot ToSnapshot() const;
+
+  /// Finds the customer whose API key this is; null when there is none.
+  [[nodiscard]] const v1::Resource* FindCustomerByKey(
+      const std::string& api_key) const;
+
+ private:
+  [[nodiscard]] std::optional<Failure> ApplyEdit(const v1::Edit& edit,
+                                                 std::size_t index);
+  [[nodiscard]] std::optional<Failure> Validate() const;
+  void ComputeDigest();
+
+  Revision revision_{};
+  std::uint64_t digest_ = 0;
+  std::map<ResourceKey, v1::Resource> resources_;
+};
+
+/// A shared, immutable configuration.
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+/// Kind of the content that a resource carries.
+[[nodiscard]] v1::Kind KindOf(const v1::Resource& resource) noexcept;
+
+/// Lower-case hex of SHA-256 of `salt` followed by `secret`.
+[[nodiscard]] std::string HashSecret(const std::string& salt,
+                                     const std::string& secret);
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/core/clock.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <concepts>
+
+namespace sycamoreford {
+
+/// Point of the monotonic clock; decisions use no other clock.
+using TimePoint = std::chrono::steady_clock::time_point;
+/// Length of time.
+using Duration = std::chrono::steady_clock::duration;
+
+/// A source of monotonic time.
+template <class T>
+concept Clock = requires(const T& clock) {
+  { clock.Now() } -> std::same_as<TimePoint>;
+};
+
+/// The system's monotonic clock. Thread safe.
+struct SteadyClock {
+  [[nodiscard]] TimePoint Now() const noexcept {
+    return std::chrono::steady_clock::now();
+  }
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/route/chain.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "sycamoreford/core/layer_range.h"
+#include "sycamoreford/core/strong_id.h"
+
+namespace sycamoreford {
+
+/// One stage of a chain: an endpoint and the layers it is to run.
+struct ChainStage {
+  EndpointId endpoint;
+  /// IP address and port.
+  std::string address;
+  LayerRange layers;
+};
+
+/// Stages in the order of layers. A valid chain covers `[0, layers)` with no
+/// gap and no overlap.
+using Chain = std::vector<ChainStage>;
+
+/// Whether `chain` covers exactly `[0, layers)`, in order.
+[[nodiscard]] bool IsCover(const Chain& chain, std::uint32_t layers) noexcept;
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/stream/engine_event.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "sycamoreford/core/failure.h"
+#include "sycamoreford/core/strong_id.h"
+
+namespace sycamoreford {
+
+/// A token of an answer.
+struct TokenEvent {
+  RequestId request;
+  Attempt attempt;
+  TokenPosition position;
+  std::string text;
+};
+
+/// The end marker of an answer.
+struct EndEvent {
+  RequestId request;
+  Attempt attempt;
+  /// Number of tokens in the whole answer.
+  std::uint32_t count = 0;
+  /// `stop` or `length`.
+  std::string reason;
+};
+
+/// What an engine sends while it generates.
+using EngineEvent = std::variant<TokenEvent, EndEvent>;
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/src/adapters/chat_handler.cc
@@ -0,0 +1,251 @@
+#include "sycamoreford/adapters/chat_handler.h"
+
+#include <chrono>
+
+#include <boost/json.hpp>
+
+#include "sycamoreford/adapters/caller_error.h"
+#include "sycamoreford/core/log.h"
+#include "sycamoreford/stream/answer_driver.h"
+
+namespace sycamoreford {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+/// The parts of a chat request that the system reads.
+struct ChatRequest {
+  std::string model;
+  std::string messages;
+  std::uint32_t max_tokens = 0;
+  bool stream = false;
+};
+
+Failure Malformed(const std::string& where) {
+  return {.code = Errc::kMalformed, .where = where};
+}
+
+Result<ChatRequest> ParseChat(const std::string& body) {
+  json::error_code error;
+  const json::value root = json::parse(body, error);
+  if (error || !root.is_object()) {
+    return Malformed("body");
+  }
+  const json::object& object = root.as_object();
+  ChatRequest chat;
+  const json::value* model = object.if_contains("model");
+  if (model == nullptr || !model->is_string()) {
+    return Malformed("model");
+  }
+  chat.model = json::value_to<std::string>(*model);
+  const json::value* messages = object.if_contains("messages");
+  if (messages == nullptr || !messages->is_array() ||
+      messages->as_array().empty()) {
+    return Malformed("messages");
+  }
+  chat.messages = json::serialize(*messages);
+  if (const json::value* stream = object.if_contains("stream")) {
+    if (!stream->is_bool()) {
+      return Malformed("stream");
+    }
+    chat.stream = stream->as_bool();
+  }
+  for (const char* key : {"max_tokens", "max_completion_tokens"}) {
+    if (const json::value* most = object.if_contains(key)) {
+      json::error_code out_of_range;
+      chat.max_tokens =
+          most->is_number() ? most->to_number<std::uint32_t>(out_of_range) : 0;
+      if (chat.max_tokens == 0 || out_of_range) {
+        return Malformed(key);
+      }
+    }
+  }
+  return chat;
+}
+
+std::int64_t NowUnixSeconds() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// Gathers the tokens of an answer that is sent whole.
+class WholeSink {
+ public:
+  asio::awaitable<void> OnToken(const std::string& text) {
+    text_ += text;
+    ++count_;
+    co_return;
+  }
+  [[nodiscard]] const std::string& text() const noexcept { return text_; }
+  [[nodiscard]] std::uint32_t count() const noexcept { return count_; }
+
+ private:
+  std::string text_;
+  std::uint32_t count_ = 0;
+};
+
+/// Sends each token as a server-sent event.
+class StreamSink {
+ public:
+  StreamSink(HttpExchange& exchange, std::string id, std::string model)
+      : exchange_(exchange),
+        id_(std::move(id)),
+        model_(std::move(model)),
+        created_(NowUnixSeconds()) {}
+
+  asio::awaitable<void> OnToken(const std::string& text) {
+    co_await Begin();
+    json::object delta;
+    delta["content"] = text;
+    co_await SendChunk(std::move(delta), nullptr);
+  }
+
+  /// Sends the last chunk and the end marker.
+  asio::awaitable<void> Finish(const std::string& reason) {
+    co_await Begin();
+    co_await SendChunk(json::object(), json::value(reason));
+    co_await exchange_.SendChunk("data: [DONE]\n\n");
+    co_await exchange_.EndStream();
+  }
+
+  /// Tells of a failure inside a stream that has begun.
+  asio::awaitable<void> Fail(const Failure& failure) {
+    co_await exchange_.SendChunk("data: " + CallerErrorBody(failure, id_) +
+                                 "\n\n");
+    co_await exchange_.EndStream();
+  }
+
+ private:
+  asio::awaitable<void> Begin() {
+    if (exchange_.is_answered()) {
+      co_return;
+    }
+    HttpResponse header;
+    header.content_type = "text/event-stream";
+    header.fields.Add("cache-control", "no-cache");
+    header.fields.Add("x-request-id", id_);
+    co_await exchange_.BeginStream(header);
+  }
+
+  asio::awaitable<void> SendChunk(json::object delta, json::value reason) {
+    co_await exchange_.SendChunk(
+        "data: " + Chunk(std::move(delta), std::move(reason)) + "\n\n");
+  }
+
+  std::string Chunk(json::object delta, json::value reason) const {
+    return json::serialize(json::object{
+        {"id", id_},
+        {"object", "chat.completion.chunk"},
+        {"created", created_},
+        {"model", model_},
+        {"choices",
+         {{{"index", 0}, {"delta", delta}, {"finish_reason", reason}}}}});
+  }
+
+  HttpExchange& exchange_;
+  std::string id_;
+  std::string model_;
+  std::int64_t created_;
+};
+
+HttpResponse WholeAnswer(const CallerRequest& caller,
+                         const ChatRequest& chat,
+                         const WholeSink& sink,
+                         const std::string& reason) {
+  HttpResponse response;
+  response.fields.Add("x-request-id", caller.id.value());
+  response.body = json::serialize(json::object{
+      {"id", caller.id.value()},
+      {"object", "chat.completion"},
+      {"created", NowUnixSeconds()},
+      {"model", chat.model},
+      {"choices",
+       {{{"index", 0},
+         {"message", {{"role", "assistant"}, {"content", sink.text()}}},
+         {"finish_reason", reason}}}},
+      {"usage", {{"completion_tokens", sink.count()}}}});
+  return response;
+}
+
+Result<AnswerOrder> MakeOrder(const EntryState& state,
+                              const CallerRequest& caller,
+                              const ChatRequest& chat) {
+  const v1::Resource* found = caller.config->Find(v1::KIND_ROUTE, chat.model);
+  if (found == nullptr) {
+    return Failure{.code = Errc::kNotFound, .where = "model"};
+  }
+  const v1::Route& route = found->route();
+  const v1::Customer& customer =
+      caller.config->Find(v1::KIND_CUSTOMER, caller.customer.value())
+          ->customer();
+  AnswerOrder order;
+  order.request = caller.id;
+  order.version =
+      caller.config->Find(v1::KIND_MODEL_VERSION, route.model_version())
+          ->model_version();
+  order.model = order.version.model();
+  order.adapter = route.adapter();
+  order.pool = caller.config->Find(v1::KIND_POOL, route.pool())->pool();
+  order.messages = chat.messages;
+  const std::uint32_t most = route.max_tokens() > 0
+                                 ? route.max_tokens()
+                                 : state.settings.limits.default_max_tokens;
+  order.max_tokens =
+      chat.max_tokens > 0 ? std::min(chat.max_tokens, most) : most;
+  order.priority = caller.config->Find(v1::KIND_PRIORITY, customer.priority())
+                       ->priority()
+                       .rank();
+  order.deadline = caller.deadline;
+  return order;
+}
+
+}  // namespace
+
+asio::awaitable<Result<void>> HandleChat(EntryState& state,
+                                         const CallerRequest& caller,
+                                         HttpExchange& exchange) {
+  auto chat = ParseChat(exchange.request().body);
+  if (!chat) {
+    co_return chat.error();
+  }
+  auto order = MakeOrder(state, caller, *chat);
+  if (!order) {
+    co_return order.error();
+  }
+  const Settings::Limits& bounds = state.settings.limits;
+  const AnswerLimits limits{
+      .attempts = bounds.attempts,
+      .first_token_timeout = bounds.first_token_timeout,
+      .between_tokens_timeout = bounds.between_tokens_timeout,
+      .connect_timeout = bounds.connect_timeout};
+  AnswerDriver driver(state.engines, state.endpoints, state.clock, limits);
+  Result<std::string> ended = std::string();
+  if (chat->stream) {
+    StreamSink sink(exchange, caller.id.value(), chat->model);
+    ended = co_await driver.Run(*order, sink);
+    if (ended) {
+      co_await sink.Finish(*ended);
+    } else if (exchange.is_answered()) {
+      co_await sink.Fail(ended.error());
+    }
+  } else {
+    WholeSink sink;
+    ended = co_await driver.Run(*order, sink);
+    if (ended) {
+      co_await exchange.Respond(WholeAnswer(caller, *chat, sink, *ended));
+    }
+  }
+  LogEvent(Severity::kDebug, "chat_attempts")
+      .With("request", caller.id.value())
+      .With("customer", caller.customer.value())
+      .With("attempts", driver.attempts());
+  if (!ended) {
+    co_return ended.error();
+  }
+  co_return Result<void>();
+}
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/src/claim/claim.cc
@@ -0,0 +1,55 @@
+#include "sycamoreford/claim/claim.h"
+
+#include <boost/json.hpp>
+
+#include "sycamoreford/config/configuration.h"
+
+namespace sycamoreford {
+
+namespace json = boost::json;
+
+std::string ClaimRowKey(const ClaimKey& key) {
+  return "claim/" + key.customer.value() + "/" + HashSecret("", key.key);
+}
+
+std::string SerializeClaim(const Claim& claim) {
+  const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
+      claim.deadline.time_since_epoch());
+  json::object object{
+      {"state", claim.state == ClaimState::kTaken ? "taken" : "answered"},
+      {"write_id", claim.write_id},
+      {"digest", claim.digest},
+      {"deadline_ms", deadline.count()}};
+  if (claim.state == ClaimState::kAnswered) {
+    object["status"] = claim.answer.status;
+    object["content_type"] = claim.answer.content_type;
+    object["body"] = claim.answer.body;
+  }
+  return json::serialize(object);
+}
+
+Result<Claim> ParseClaim(const std::string& text) {
+  try {
+    const json::value value = json::parse(text);
+    Claim claim;
+    const auto state = json::value_to<std::string>(value.at("state"));
+    claim.state =
+        state == "answered" ? ClaimState::kAnswered : ClaimState::kTaken;
+    claim.write_id = json::value_to<std::string>(value.at("write_id"));
+    claim.digest = json::value_to<std::string>(value.at("digest"));
+    claim.deadline =
+        std::chrono::system_clock::time_point(std::chrono::milliseconds(
+            value.at("deadline_ms").to_number<std::int64_t>()));
+    if (claim.state == ClaimState::kAnswered) {
+      claim.answer.status = value.at("status").to_number<unsigned>();
+      claim.answer.content_type =
+          json::value_to<std::string>(value.at("content_type"));
+      claim.answer.body = json::value_to<std::string>(value.at("body"));
+    }
+    return claim;
+  } catch (const std::exception&) {
+    return Failure{.code = Errc::kMalformed, .where = "claim"};
+  }
+}
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/src/stream/answer_progress.cc
@@ -0,0 +1,59 @@
+#include "sycamoreford/stream/answer_progress.h"
+
+#include <utility>
+
+namespace sycamoreford {
+
+AnswerProgress::AnswerProgress(RequestId request)
+    : request_(std::move(request)) {}
+
+Attempt AnswerProgress::BeginAttempt() {
+  attempt_ = Attempt(attempt_.value() + 1);
+  return attempt_;
+}
+
+bool AnswerProgress::IsEarlier(Attempt attempt) const noexcept {
+  return attempt < attempt_;
+}
+
+ProgressAction AnswerProgress::OnEvent(const EngineEvent& event) {
+  if (is_whole_) {
+    return ProgressAction::kDrop;
+  }
+  if (const auto* token = std::get_if<TokenEvent>(&event)) {
+    return OnToken(*token);
+  }
+  return OnEnd(std::get<EndEvent>(event));
+}
+
+ProgressAction AnswerProgress::OnToken(const TokenEvent& token) {
+  if (token.request != request_) {
+    return ProgressAction::kAbort;
+  }
+  if (IsEarlier(token.attempt)) {
+    return ProgressAction::kDrop;
+  }
+  if (token.attempt != attempt_ ||
+      token.position.value() != delivered_.size()) {
+    return ProgressAction::kAbort;
+  }
+  delivered_.push_back(token.text);
+  return ProgressAction::kDeliver;
+}
+
+ProgressAction AnswerProgress::OnEnd(const EndEvent& end) {
+  if (end.request != request_) {
+    return ProgressAction::kAbort;
+  }
+  if (IsEarlier(end.attempt)) {
+    return ProgressAction::kDrop;
+  }
+  if (end.attempt != attempt_ || end.count != delivered_.size()) {
+    return ProgressAction::kAbort;
+  }
+  finish_reason_ = end.reason;
+  is_whole_ = true;
+  return ProgressAction::kFinish;
+}
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/tests/fakes/service_main.cc
@@ -0,0 +1,91 @@
+// A plain service as a process. Every call is counted by its x-call header (or
+// body) and answered with that count, so that a call that ran twice shows.
+//
+// GET /fake/ran lists the counts. POST /fake/mode sets how it misbehaves:
+// {"mode": "up" | "cut_before" | "cut_after" | "slow", "delay_ms": N}.
+#include <iostream>
+#include <map>
+
+#include <tclap/CmdLine.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include "sycamoreford/adapters/http_server.h"
+
+namespace sycamoreford::fakes {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+class PlainService {
+ public:
+  asio::awaitable<void> Handle(HttpExchange& exchange) {
+    const HttpRequest& request = exchange.request();
+    HttpResponse response;
+    if (request.target == "/fake/mode") {
+      const json::value body = json::parse(request.body);
+      mode_ = json::value_to<std::string>(body.at("mode"));
+      if (const json::value* delay = body.as_object().if_contains("delay_ms")) {
+        delay_ = std::chrono::milliseconds(delay->to_number<int>());
+      }
+    } else if (request.target == "/fake/ran") {
+      response.body = json::serialize(json::value_from(ran_));
+    } else if (request.target == "/v1/state") {
+      response.body = R"({"queue":0,"leaving":false})";
+    } else if (mode_ == "cut_before") {
+      co_return;
+    } else {
+      co_await Run(request, response);
+      if (mode_ == "cut_after") {
+        co_return;
+      }
+    }
+    co_await exchange.Respond(response);
+  }
+
+ private:
+  asio::awaitable<void> Run(const HttpRequest& request,
+                            HttpResponse& response) {
+    std::string call(request.fields.Get("x-call"));
+    if (call.empty()) {
+      call = request.method + " " + request.target + " " + request.body;
+    }
+    const int count = ++ran_[call];
+    if (mode_ == "slow") {
+      asio::steady_timer timer(co_await asio::this_coro::executor, delay_);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    response.body =
+        json::serialize(json::object{{"call", call}, {"ran", count}});
+  }
+
+  std::string mode_ = "up";
+  std::chrono::milliseconds delay_{0};
+  std::map<std::string, int> ran_;
+};
+
+}  // namespace
+}  // namespace sycamoreford::fakes
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Stand-in for a plain service");
+  TCLAP::ValueArg<std::string> listen("", "listen", "IP address and port",
+                                      false, "127.0.0.1:0", "ADDRESS", command);
+  command.parse(argc, argv);
+  boost::asio::io_context context(1);
+  sycamoreford::fakes::PlainService service;
+  sycamoreford::HttpServer server(
+      context, listen.getValue(), {},
+      [&service](sycamoreford::HttpExchange& exchange) {
+        return service.Handle(exchange);
+      });
+  std::cout << "event=listening address=" << server.address() << std::endl;
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&context](auto, auto) { context.stop(); });
+  context.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
