--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -251,9 +251,9 @@
 }
 
 template <class State>
-asio::awaitable<void> Serve(std::shared_ptr<State> state, tcp::socket socket) {
+asio::awaitable<void> Serve(std::shared_ptr<State> state,
+                            beast::tcp_stream stream) {
   ++state->connections;
-  beast::tcp_stream stream(std::move(socket));
   stream.socket().set_option(tcp::no_delay(true));
   beast::flat_buffer buffer;
   try {
@@ -297,7 +297,8 @@
       continue;
     }
     const auto executor = socket.get_executor();
-    asio::co_spawn(executor, Serve(state, std::move(socket)), asio::detached);
+    beast::tcp_stream stream(std::move(socket));
+    asio::co_spawn(executor, Serve(state, std::move(stream)), asio::detached);
   }
 }
 
--- /dev/null
+++ b/tests/fakes/faulty_table.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "fakes/fake_table.h"
+#include "sycamoreford/core/failure.h"
+
+namespace sycamoreford::fakes {
+
+/// How one call of the table goes wrong.
+enum class TableFault {
+  kNone,
+  /// Answers an error and has no effect.
+  kUnavailable,
+  /// A commit takes effect, and its answer is lost.
+  kEffectAndLostAnswer,
+  /// A commit's answer is lost, and it takes effect only later.
+  kLateEffect,
+};
+
+/// A `TableClient` over a `FakeTable` whose n-th call goes wrong as planned.
+/// Thread safety: none.
+class FaultyTable {
+ public:
+  explicit FaultyTable(FakeTable& table) : table_(table) {}
+
+  /// Makes the call with this index, from 0, go wrong.
+  void Plan(std::size_t call, TableFault fault) { plan_[call] = fault; }
+
+  /// Makes all calls from now on go wrong; `kNone` ends it.
+  void SetMode(TableFault fault) { mode_ = fault; }
+
+  /// Lets the commits that were held back take effect now.
+  void ReleaseLate() {
+    for (const TableTransaction& transaction : late_) {
+      table_.Commit(transaction);
+    }
+    late_.clear();
+  }
+
+  /// Number of calls so far.
+  [[nodiscard]] std::size_t calls() const noexcept { return calls_; }
+
+  boost::asio::awaitable<Result<std::vector<TableRow>>> Read(
+      const TableRead& read) {
+    if (NextFault() != TableFault::kNone) {
+      co_return Unavailable();
+    }
+    co_return table_.Read(read);
+  }
+
+  boost::asio::awaitable<Result<bool>> Commit(
+      const TableTransaction& transaction) {
+    switch (NextFault()) {
+      case TableFault::kNone:
+        co_return table_.Commit(transaction);
+      case TableFault::kUnavailable:
+        co_return Unavailable();
+      case TableFault::kEffectAndLostAnswer:
+        table_.Commit(transaction);
+        co_return Lost();
+      case TableFault::kLateEffect:
+        late_.push_back(transaction);
+        co_return Lost();
+    }
+    co_return Unavailable();
+  }
+
+ private:
+  static Failure Unavailable() {
+    return {.code = Errc::kTableUnavailable, .where = "table"};
+  }
+  static Failure Lost() {
+    return {.code = Errc::kTableAnswerLost,
+            .outcome = Outcome::kUnknown,
+            .where = "table"};
+  }
+
+  TableFault NextFault() {
+    const auto planned = plan_.find(calls_++);
+    return planned == plan_.end() ? mode_ : planned->second;
+  }
+
+  FakeTable& table_;
+  std::map<std::size_t, TableFault> plan_;
+  TableFault mode_ = TableFault::kNone;
+  std::size_t calls_ = 0;
+  std::vector<TableTransaction> late_;
+};
+
+}  // namespace sycamoreford::fakes
--- /dev/null
+++ b/tests/support/run.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <exception>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace sycamoreford::support {
+
+/// Runs a coroutine to its end on a context of its own and returns its value.
+template <class T>
+T Run(boost::asio::awaitable<T> work) {
+  boost::asio::io_context context;
+  std::optional<T> value;
+  std::exception_ptr failed;
+  boost::asio::co_spawn(context, std::move(work),
+                        [&](std::exception_ptr error, T result) {
+                          failed = error;
+                          value.emplace(std::move(result));
+                        });
+  context.run();
+  if (failed) {
+    std::rethrow_exception(failed);
+  }
+  return std::move(*value);
+}
+
+}  // namespace sycamoreford::support
--- /dev/null
+++ b/tests/support/stand.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "support/process.h"
+#include "sycamoreford/adapters/http_message.h"
+#include "sycamoreford/core/failure.h"
+
+namespace sycamoreford::support {
+
+/// One HTTP exchange, blocking; whole response or failure.
+[[nodiscard]] Result<HttpResponse> Fetch(
+    const std::string& address,
+    const HttpRequest& request,
+    std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+/// A POST with a JSON body to a stand-in.
+Result<HttpResponse> Post(const std::string& address,
+                          const std::string& target,
+                          const std::string& body);
+
+/// A stage or service process and where it listens.
+struct StandEndpoint {
+  Process process;
+  std::string name;
+  std::string address;
+};
+
+/// A small deployment of real processes: a table, two chains of three model
+/// stages, a plain service with two replicas, and entry daemons.
+///
+/// The customers `ringers` and `students` have the keys `ringers-key` and
+/// `students-key`; the operator's token is `operator-token`; the model is
+/// `bell-llm` with 12 layers; the service is `rota-app`.
+class Stand {
+ public:
+  struct Options {
+    int daemons = 1;
+    /// Time of one token through a stage.
+    std::chrono::microseconds latency{1000};
+    /// Members added to `limits` in the daemons' settings, as JSON text.
+    std::string limits = R"("drain_notice_ms": 100)";
+    /// Members added to `table` in the daemons' settings, as JSON text.
+    std::string table = R"("poll_interval_ms": 200, "timeout_ms": 500)";
+  };
+
+  explicit Stand(const Options& options);
+  ~Stand();
+
+  /// Starts one more daemon; returns its index.
+  std::size_t StartDaemon();
+
+  /// Applies a change given as the JSON form of ApplyRequest, through a
+  /// daemon; returns the exit code of sycamorectl and fills `output`.
+  int Apply(std::size_t daemon,
+            const std::string& json,
+            std::string* output = nullptr);
+
+  /// Runs sycamorectl against a daemon.
+  int Control(std::size_t daemon,
+              std::vector<std::string> arguments,
+              std::string* output = nullptr);
+
+  /// Waits until a daemon reports this revision in force.
+  void WaitForRevision(std::size_t daemon, std::uint64_t revision);
+
+  /// A chat request of `ringers`.
+  [[nodiscard]] static HttpRequest Chat(const std::string& content,
+                                        std::uint32_t max_tokens,
+                                        bool stream,
+                                        const std::string& key = "ringers-key");
+
+  /// The messages of `Chat`, as the engines see them.
+  [[nodiscard]] static std::string MessagesOf(const std::string& content);
+
+  /// The tokens that the model gives to `Chat`, joined.
+  [[nodiscard]] static std::string ExpectedAnswer(const std::string& content,
+                                                  std::uint32_t max_tokens);
+
+  /// The text of an answer, whole or streamed; empty when no end marker
+  /// proves it complete.
+  [[nodiscard]] static std::optional<std::string> AnswerText(
+      const HttpResponse& response);
+
+  [[nodiscard]] const std::string& callers(std::size_t daemon) const {
+    return callers_.at(daemon);
+  }
+  [[nodiscard]] const std::string& operators(std::size_t daemon) const {
+    return operators_.at(daemon);
+  }
+  [[nodiscard]] const std::string& table() const { return table_address_; }
+  /// Stages `a0`, `a1`, `a2`, `b0`, `b1`, `b2`.
+  [[nodiscard]] StandEndpoint& stage(const std::string& name) {
+    return *stages_.at(name);
+  }
+  [[nodiscard]] StandEndpoint& service(std::size_t index) {
+    return *services_.at(index);
+  }
+  [[nodiscard]] Process& daemon(std::size_t index) {
+    return *daemons_.at(index);
+  }
+  /// The JSON form of the pool of stages, to change and apply again.
+  [[nodiscard]] std::string StagePoolJson() const;
+
+ private:
+  Options options_;
+  std::string folder_;
+  std::optional<Process> table_process_;
+  std::string table_address_;
+  std::map<std::string, std::optional<StandEndpoint>> stages_;
+  std::vector<std::optional<StandEndpoint>> services_;
+  std::vector<std::optional<Process>> daemons_;
+  std::vector<std::string> callers_;
+  std::vector<std::string> operators_;
+};
+
+}  // namespace sycamoreford::support
