--- a/tests/support/run.h
+++ b/tests/support/run.h
@@ -18,7 +18,7 @@
   std::exception_ptr failed;
   boost::asio::co_spawn(context, std::move(work),
                         [&](std::exception_ptr error, T result) {
-                          failed = error;
+                          failed = std::move(error);
                           value.emplace(std::move(result));
                         });
   context.run();
