Bound every wait of an answer, and judge silence by the stream's own pace

Cause: tests of one answer over scripted engines and over raw sockets failed against the code as it stood: - an engine that sends events of an earlier attempt for ever held the request for ever (60 s, ended by hand): each event began a new wait; - a token after the last was delivered (fault 13 at call 13); - waits went beyond the deadline (shrunk case: one token, no fault, 1 ms); - a failure that was known became unknown after a further refusal, and an unknown one did not say when to come back; - six failures in a stream ended it, however many tokens came between them; - a stall condemned the first stage, which was innocent, and went on over the silent one; - bytes that trickle in held an engine's answer for ever (100 s, ended by hand); - a refusal that was cut was laid to "body" and not to the stage.

Change: PaceMonitor learns the pace, tells silence and slowness; StageSuspects keeps named stages apart from chains of which one stage is to blame; the driver bounds every wait by the deadline, moves a slow stream when another chain is there, plans again over the present pool, and blames nobody for a caller that went away or time that was short. AnswerProgress knows the most tokens.

--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -22,6 +22,8 @@
   /// Connects, sends the request and receives the response header.
   ///
   /// \param address IP address and port.
+  /// \param connect_timeout bound for making the connection.
+  /// \param header_timeout bound for all, the connection included.
   /// \returns the open call. Errors: `kConnectionRefused` (not run) when no
   ///     connection was made; `kConnectionLost`, `kStalled` or
   ///     `kBadEndpointAnswer` (unknown) after bytes were sent.
@@ -40,6 +42,7 @@
 
   /// Reads the next bytes of the body.
   ///
+  /// \param timeout bound for all of it.
   /// \returns the bytes, or nothing at the proper end of the message. Errors
   ///     as for `Open`.
   [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
@@ -48,6 +51,7 @@
   /// Reads the rest of the body.
   ///
   /// \param limit most bytes to accept; more is `kBadEndpointAnswer`.
+  /// \param timeout bound for all of it.
   [[nodiscard]] boost::asio::awaitable<Result<std::string>> ReadAll(
       std::size_t limit,
       std::chrono::milliseconds timeout);
@@ -58,7 +62,8 @@
   std::unique_ptr<State> state_;
 };
 
-/// Sends a request and reads the whole response; errors as for `HttpCall`.
+/// Sends a request and reads the whole response, all within `timeout`; errors
+/// as for `HttpCall`.
 [[nodiscard]] boost::asio::awaitable<Result<HttpResponse>> FetchHttp(
     const std::string& address,
     const HttpRequest& request,
--- a/include/sycamoreford/route/endpoint_table.h
+++ b/include/sycamoreford/route/endpoint_table.h
@@ -14,7 +14,12 @@
 namespace sycamoreford {
 
 /// What became of an attempt, as far as one endpoint is concerned.
-enum class EndpointVerdict { kGood, kBad };
+enum class EndpointVerdict {
+  kGood,
+  kBad,
+  /// It was in a chain that was slow or silent; it may be another's fault.
+  kSlow,
+};
 
 /// What this daemon knows of all endpoints; shared by the workers.
 ///
--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -4,16 +4,20 @@
 #include <chrono>
 #include <concepts>
 #include <functional>
-#include <set>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_state.hpp>
+#include <boost/asio/this_coro.hpp>
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/route/chain_planner.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/stream/answer_progress.h"
 #include "sycamoreford/stream/engine_client.h"
+#include "sycamoreford/stream/pace_monitor.h"
+#include "sycamoreford/stream/stage_suspects.h"
 
 namespace sycamoreford {
 
@@ -34,14 +38,19 @@
   std::uint32_t max_tokens = 0;
   std::uint32_t priority = 0;
   TimePoint deadline{};
+  /// The pool as of now, for attempts after the first; nothing when it no
+  /// longer serves this version. May be empty.
+  std::function<std::optional<v1::Pool>()> current_pool{};
 };
 
 /// Bounds of one answer.
 struct AnswerLimits {
+  /// Attempts in a row that bring no token.
   std::uint32_t attempts = 6;
+  /// Silence before the first token, as long as no pace is known.
   std::chrono::milliseconds first_token_timeout{5'000};
+  /// Silence between tokens, as long as no pace is known.
   std::chrono::milliseconds between_tokens_timeout{1'000};
-  std::chrono::milliseconds connect_timeout{1'000};
 };
 
 /// Runs one answer to its end: plans a chain, opens an attempt, delivers its
@@ -65,41 +74,44 @@
   ///
   /// \returns the finish reason, or the failure that ended the last attempt.
   ///     Its outcome is `kNotRun` only when that was proved of every attempt.
+  ///     No wait lasts beyond the deadline. Throws what `sink` throws.
   template <AnswerSink Sink>
   boost::asio::awaitable<Result<std::string>> Run(const AnswerOrder& order,
                                                   Sink& sink) {
-    AnswerProgress progress(order.request);
-    std::set<EndpointId> avoid;
-    bool may_have_run = false;
+    AnswerProgress progress(order.request, order.max_tokens);
+    PaceMonitor pace({.first_token = limits_.first_token_timeout,
+                      .between_tokens = limits_.between_tokens_timeout});
+    StageSuspects suspects;
+    Outcome outcome = Outcome::kNotRun;
     Failure last{.code = Errc::kNoEndpoint, .where = "chain"};
-    while (progress.attempt().value() < limits_.attempts) {
+    std::uint32_t fruitless = 0;
+    while (fruitless < limits_.attempts) {
       if (clock_.Now() >= order.deadline) {
         last.code = Errc::kDeadlineExceeded;
         break;
       }
-      auto chain = PlanChain(order.pool, order.version,
-                             endpoints_.Snapshot(clock_.Now()), avoid);
-      if (!chain && !avoid.empty()) {
-        avoid.clear();
-        chain = PlanChain(order.pool, order.version,
-                          endpoints_.Snapshot(clock_.Now()), avoid);
-      }
+      auto chain = NextChain(order, progress, suspects);
       if (!chain) {
         last = chain.error();
         break;
       }
-      auto ended = co_await RunAttempt(order, *chain, progress, sink);
+      const std::size_t had = progress.delivered().size();
+      Tracking tracking{progress, pace, suspects};
+      auto ended = co_await RunAttempt(order, *chain, tracking, sink);
       if (ended) {
         co_return *ended;
       }
       last = ended.error();
-      may_have_run = may_have_run || last.outcome != Outcome::kNotRun;
-      Blame(*chain, last, avoid);
+      outcome = Worse(outcome, last.outcome);
+      if (co_await IsCancelled()) {
+        last.code = Errc::kCallerGone;
+        break;
+      }
+      fruitless = progress.delivered().size() > had ? 0 : fruitless + 1;
+      Blame(*chain, last, tracking);
     }
-    if (may_have_run) {
-      last.outcome = Outcome::kUnknown;
-    } else {
-      last.outcome = Outcome::kNotRun;
+    last.outcome = outcome;
+    if (last.code != Errc::kDeadlineExceeded) {
       last.retry_after = kRetryAfter;
     }
     co_return last;
@@ -127,38 +139,133 @@
             .priority = order.priority};
   }
 
+  /// What one run knows.
+  struct Tracking {
+    AnswerProgress& progress;
+    PaceMonitor& pace;
+    StageSuspects& suspects;
+  };
+
+  /// Loads in which no endpoint is suspected.
+  struct Unsuspecting {
+    const EndpointTable::View& view;
+    [[nodiscard]] EndpointLoad LoadOf(const EndpointId& id) const {
+      EndpointLoad load = view.LoadOf(id);
+      load.is_suspected = false;
+      return load;
+    }
+  };
+
+  static Outcome Worse(Outcome one, Outcome other) noexcept {
+    if (one == Outcome::kUnknown || other == Outcome::kUnknown) {
+      return Outcome::kUnknown;
+    }
+    return one == Outcome::kNotRun ? other : one;
+  }
+
+  static boost::asio::awaitable<bool> IsCancelled() {
+    const auto state = co_await boost::asio::this_coro::cancellation_state;
+    co_return state.cancelled() != boost::asio::cancellation_type::none;
+  }
+
+  /// The pool for the next attempt; later ones see ranges that have changed.
+  static v1::Pool PoolOf(const AnswerOrder& order,
+                         const AnswerProgress& progress) {
+    std::optional<v1::Pool> current;
+    if (progress.attempt().value() > 0 && order.current_pool) {
+      current = order.current_pool();
+    }
+    return current ? *current : order.pool;
+  }
+
+  /// A stream that has begun rather tries suspected stages than ends.
+  Result<Chain> NextChain(const AnswerOrder& order,
+                          const AnswerProgress& progress,
+                          const StageSuspects& suspects) const {
+    const v1::Pool pool = PoolOf(order, progress);
+    const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
+    auto chain = suspects.Plan(pool, order.version, loads);
+    if (!chain && !progress.delivered().empty()) {
+      chain = suspects.Plan(pool, order.version, Unsuspecting{loads});
+    }
+    return chain;
+  }
+
+  static std::size_t PrefillBytes(const AnswerOrder& order,
+                                  const AnswerProgress& progress) {
+    std::size_t bytes = order.messages.size();
+    for (const std::string& token : progress.delivered()) {
+      bytes += token.size();
+    }
+    return bytes;
+  }
+
+  /// Time left until `end` or the deadline; 0 when there is none.
+  std::chrono::milliseconds TimeLeft(const AnswerOrder& order,
+                                     TimePoint end) const {
+    const Duration left = std::min(end, order.deadline) - clock_.Now();
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        std::max(left, Duration(0)));
+  }
+
+  /// A silence that the deadline cut short is no fault of an endpoint.
+  Failure Explain(const AnswerOrder& order, Failure failure) const {
+    if (failure.code == Errc::kStalled && clock_.Now() >= order.deadline) {
+      failure.code = Errc::kDeadlineExceeded;
+    }
+    return failure;
+  }
+
   template <AnswerSink Sink>
   boost::asio::awaitable<Result<std::string>> RunAttempt(
       const AnswerOrder& order,
       const Chain& chain,
-      AnswerProgress& progress,
+      Tracking& tracking,
       Sink& sink) {
+    AnswerProgress& progress = tracking.progress;
     progress.BeginAttempt();
     attempts_ = progress.attempt().value();
     const ChainHold hold(endpoints_, chain);
-    auto stream = co_await engine_.Open(ToGenerateOrder(order, chain, progress),
-                                        limits_.first_token_timeout);
+    const std::size_t prefill = PrefillBytes(order, progress);
+    const TimePoint began = clock_.Now();
+    TimePoint arrived = began;
+    TimePoint bound = began + tracking.pace.FirstTokenTimeout(prefill);
+    const GenerateOrder generate = ToGenerateOrder(order, chain, progress);
+    auto stream = co_await engine_.Open(generate, TimeLeft(order, bound));
     if (!stream) {
-      co_return stream.error();
+      co_return Explain(order, stream.error());
     }
-    auto timeout = limits_.first_token_timeout;
+    Duration sending{0};
     for (;;) {
-      auto event = co_await stream->Next(timeout);
+      const auto wait = TimeLeft(order, bound);
+      if (wait.count() == 0) {
+        co_return Explain(order, Silence());
+      }
+      auto event = co_await stream->Next(wait);
       if (!event) {
-        co_return event.error();
+        co_return Explain(order, event.error());
       }
-      timeout = limits_.between_tokens_timeout;
       switch (progress.OnEvent(*event)) {
-        case ProgressAction::kDeliver:
+        case ProgressAction::kDeliver: {
+          const TimePoint now = clock_.Now();
+          if (arrived == began) {
+            tracking.pace.OnFirstToken(now - began, prefill);
+          } else if (sending * 2 < now - arrived) {
+            tracking.pace.OnToken(now - arrived);
+          }
+          arrived = now;
           co_await sink.OnToken(progress.delivered().back());
+          sending = clock_.Now() - now;
+          if (ShouldMove(order, chain, tracking)) {
+            co_return Silence();
+          }
+          bound = clock_.Now() + tracking.pace.AllowedGap();
           break;
+        }
         case ProgressAction::kDrop:
           break;
         case ProgressAction::kFinish:
-          for (const ChainStage& stage : chain) {
-            endpoints_.Report(stage.endpoint, EndpointVerdict::kGood,
-                              clock_.Now());
-          }
+          Report(chain, EndpointVerdict::kGood);
           co_return progress.finish_reason();
         case ProgressAction::kAbort:
           co_return Failure{.code = Errc::kBadEndpointAnswer,
@@ -168,22 +275,58 @@
     }
   }
 
+  static Failure Silence() {
+    return {
+        .code = Errc::kStalled, .outcome = Outcome::kUnknown, .where = "chain"};
+  }
+
+  /// Whether the stream is slow and another chain is there for it.
+  bool ShouldMove(const AnswerOrder& order,
+                  const Chain& chain,
+                  Tracking& tracking) const {
+    if (!tracking.pace.IsSlow()) {
+      return false;
+    }
+    StageSuspects suspects = tracking.suspects;
+    suspects.AddChain(chain);
+    const bool moves =
+        suspects
+            .PlanClear(PoolOf(order, tracking.progress), order.version,
+                       endpoints_.Snapshot(clock_.Now()))
+            .has_value();
+    tracking.pace.OnSlowSeen(moves);
+    return moves;
+  }
+
+  void Report(const Chain& chain, EndpointVerdict verdict) {
+    for (const ChainStage& stage : chain) {
+      endpoints_.Report(stage.endpoint, verdict, clock_.Now());
+    }
+  }
+
   /// Steers later attempts away from the stage that failed: the one that the
   /// failure names, or else the whole chain.
-  void Blame(const Chain& chain,
-             const Failure& failure,
-             std::set<EndpointId>& avoid) {
+  void Blame(const Chain& chain, const Failure& failure, Tracking& tracking) {
+    if (failure.code == Errc::kDeadlineExceeded) {
+      return;
+    }
+    if (failure.code == Errc::kStalled) {
+      tracking.pace.OnStall();
+      tracking.suspects.AddChain(chain);
+      Report(chain, EndpointVerdict::kSlow);
+      return;
+    }
     const auto named =
         std::find_if(chain.begin(), chain.end(), [&](const ChainStage& stage) {
           return stage.address == failure.where;
         });
-    if (named != chain.end()) {
-      avoid.insert(named->endpoint);
-      endpoints_.Report(named->endpoint, EndpointVerdict::kBad, clock_.Now());
+    if (named == chain.end()) {
+      tracking.suspects.AddChain(chain);
       return;
     }
-    for (const ChainStage& stage : chain) {
-      avoid.insert(stage.endpoint);
+    tracking.suspects.AddNamed(*named);
+    if (failure.code != Errc::kLayerRangeChanged) {
+      endpoints_.Report(named->endpoint, EndpointVerdict::kBad, clock_.Now());
     }
   }
 
--- a/include/sycamoreford/stream/answer_progress.h
+++ b/include/sycamoreford/stream/answer_progress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,13 +25,15 @@
 /// Decides which events of engines become part of the answer.
 ///
 /// Each attempt has a number; only events of the request's present attempt, at
-/// exactly the next position, are delivered. An answer is whole only when an
-/// end marker carries the number of tokens delivered. No I/O.
+/// exactly the next position and within the bound, are delivered. An answer is
+/// whole only when an end marker carries the number of tokens delivered. No
+/// I/O.
 ///
 /// Thread safety: none.
 class AnswerProgress {
  public:
-  explicit AnswerProgress(RequestId request);
+  /// \param max_tokens most tokens of the answer; one more breaks the protocol.
+  AnswerProgress(RequestId request, std::uint32_t max_tokens);
 
   /// Starts the next attempt; events of earlier ones are dropped from now on.
   /// Precondition: the answer is not whole.
@@ -60,6 +63,7 @@
   [[nodiscard]] bool IsEarlier(Attempt attempt) const noexcept;
 
   RequestId request_;
+  std::uint32_t max_tokens_;
   Attempt attempt_{0};
   std::vector<std::string> delivered_;
   std::string finish_reason_;
--- a/src/adapters/chat_handler.cc
+++ b/src/adapters/chat_handler.cc
@@ -170,6 +170,18 @@
   return response;
 }
 
+/// The pool of a route as it is now, if it still serves the same version.
+std::optional<v1::Pool> CurrentPool(const Configuration& config,
+                                    const v1::Route& route) {
+  for (const v1::Resource* now : config.List(v1::KIND_ROUTE)) {
+    if (now->route().model_version() == route.model_version() &&
+        now->route().pool() == route.pool()) {
+      return config.Find(v1::KIND_POOL, route.pool())->pool();
+    }
+  }
+  return std::nullopt;
+}
+
 Result<AnswerOrder> MakeOrder(const EntryState& state,
                               const CallerRequest& caller,
                               const ChatRequest& chat) {
@@ -199,6 +211,9 @@
                        ->priority()
                        .rank();
   order.deadline = caller.deadline;
+  order.current_pool = [&state, route] {
+    return CurrentPool(*state.config.current(), route);
+  };
   return order;
 }
 
@@ -219,8 +234,7 @@
   const AnswerLimits limits{
       .attempts = bounds.attempts,
       .first_token_timeout = bounds.first_token_timeout,
-      .between_tokens_timeout = bounds.between_tokens_timeout,
-      .connect_timeout = bounds.connect_timeout};
+      .between_tokens_timeout = bounds.between_tokens_timeout};
   AnswerDriver driver(state.engines, state.endpoints, state.clock, limits);
   Result<std::string> ended = std::string();
   if (chat->stream) {
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -1,5 +1,7 @@
 #include "sycamoreford/adapters/http_client.h"
 
+#include <algorithm>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -66,6 +68,14 @@
   return message;
 }
 
+/// Time left until `bound`; 0 when it has passed.
+std::chrono::milliseconds TimeUntil(
+    std::chrono::steady_clock::time_point bound) {
+  const auto left = bound - std::chrono::steady_clock::now();
+  return std::max(std::chrono::ceil<std::chrono::milliseconds>(left),
+                  std::chrono::milliseconds(0));
+}
+
 }  // namespace
 
 HttpCall::HttpCall(std::unique_ptr<State> state) : state_(std::move(state)) {}
@@ -82,14 +92,15 @@
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
   beast::tcp_stream& stream = state->stream;
-  stream.expires_after(connect_timeout);
+  const auto bound = std::chrono::steady_clock::now() + header_timeout;
+  stream.expires_after(std::min(connect_timeout, header_timeout));
   co_await stream.async_connect(impl::ParseAddress(address), token);
   if (error) {
     co_return ConnectFailure(address);
   }
   stream.socket().set_option(asio::ip::tcp::no_delay(true));
   const auto message = ToMessage(address, request);
-  stream.expires_after(header_timeout);
+  stream.expires_at(bound);
   co_await http::async_write(stream, message, token);
   if (error) {
     co_return ExchangeFailure(error, address);
@@ -119,8 +130,8 @@
     std::chrono::milliseconds timeout) {
   std::string& body = state_->parser.get().body();
   beast::error_code error;
+  state_->stream.expires_after(timeout);
   while (body.empty() && !state_->parser.is_done()) {
-    state_->stream.expires_after(timeout);
     co_await http::async_read_some(state_->stream, state_->buffer,
                                    state_->parser,
                                    asio::redirect_error(use_awaitable, error));
@@ -140,8 +151,9 @@
     std::size_t limit,
     std::chrono::milliseconds timeout) {
   std::string whole;
+  const auto bound = std::chrono::steady_clock::now() + timeout;
   for (;;) {
-    auto bytes = co_await ReadSome(timeout);
+    auto bytes = co_await ReadSome(TimeUntil(bound));
     if (!bytes) {
       co_return bytes.error();
     }
@@ -162,11 +174,12 @@
     const HttpRequest& request,
     std::chrono::milliseconds timeout,
     std::size_t limit) {
+  const auto bound = std::chrono::steady_clock::now() + timeout;
   auto call = co_await HttpCall::Open(address, request, timeout, timeout);
   if (!call) {
     co_return call.error();
   }
-  auto body = co_await call->ReadAll(limit, timeout);
+  auto body = co_await call->ReadAll(limit, TimeUntil(bound));
   if (!body) {
     co_return body.error();
   }
--- a/src/adapters/http_engine_client.cc
+++ b/src/adapters/http_engine_client.cc
@@ -95,6 +95,7 @@
     const GenerateOrder& order,
     std::chrono::milliseconds timeout) {
   const std::string& address = order.chain.front().address;
+  const auto bound = std::chrono::steady_clock::now() + timeout;
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/generate";
@@ -108,9 +109,13 @@
   if (call->status() == kStatusOk) {
     co_return Stream(std::move(*call), address);
   }
-  auto body = co_await call->ReadAll(kLineLimit, timeout);
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      bound - std::chrono::steady_clock::now());
+  auto body = co_await call->ReadAll(kLineLimit, left);
   if (!body) {
-    co_return body.error();
+    Failure failure = body.error();
+    failure.where = address;
+    co_return failure;
   }
   try {
     co_return ToFailure(json::parse(*body), address);
@@ -126,6 +131,8 @@
 
 asio::awaitable<Result<EngineEvent>> HttpEngineClient::Stream::Next(
     std::chrono::milliseconds timeout) {
+  // Bytes that trickle in without a line do not lengthen the wait.
+  const auto bound = std::chrono::steady_clock::now() + timeout;
   for (;;) {
     const std::size_t end = pending_.find('\n');
     if (end != std::string::npos) {
@@ -138,7 +145,14 @@
                         .outcome = Outcome::kUnknown,
                         .where = address_};
     }
-    auto bytes = co_await call_.ReadSome(timeout);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+        bound - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+      co_return Failure{.code = Errc::kStalled,
+                        .outcome = Outcome::kUnknown,
+                        .where = address_};
+    }
+    auto bytes = co_await call_.ReadSome(left);
     if (!bytes) {
       Failure failure = bytes.error();
       failure.where = address_;
--- a/src/route/endpoint_table.cc
+++ b/src/route/endpoint_table.cc
@@ -51,6 +51,8 @@
       entry.failures = 0;
       entry.suspected_until = {};
       return;
+    case EndpointVerdict::kSlow:
+      return;
     case EndpointVerdict::kBad:
       const std::uint32_t doublings = std::min(entry.failures, kMostDoublings);
       entry.suspected_until = now + kFirstSuspicion * (1U << doublings);
--- a/src/stream/answer_progress.cc
+++ b/src/stream/answer_progress.cc
@@ -4,8 +4,8 @@
 
 namespace sycamoreford {
 
-AnswerProgress::AnswerProgress(RequestId request)
-    : request_(std::move(request)) {}
+AnswerProgress::AnswerProgress(RequestId request, std::uint32_t max_tokens)
+    : request_(std::move(request)), max_tokens_(max_tokens) {}
 
 Attempt AnswerProgress::BeginAttempt() {
   attempt_ = Attempt(attempt_.value() + 1);
@@ -34,7 +34,8 @@
     return ProgressAction::kDrop;
   }
   if (token.attempt != attempt_ ||
-      token.position.value() != delivered_.size()) {
+      token.position.value() != delivered_.size() ||
+      delivered_.size() >= max_tokens_) {
     return ProgressAction::kAbort;
   }
   delivered_.push_back(token.text);
--- /dev/null
+++ b/tests/engine_client_test.cc
@@ -0,0 +1,254 @@
+// Engines that are wrong, slow or half dead, byte by byte: each answer gets a
+// type, "not run" is said only where the bytes prove it, and no wait is longer
+// than asked for.
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "support/run.h"
+#include "sycamoreford/adapters/http_engine_client.h"
+
+namespace sycamoreford {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Accepts one connection and sends fixed bytes, whatever comes in.
+class RawEngine {
+ public:
+  struct Options {
+    std::string bytes;
+    /// Sent again and again after the first bytes, 20 ms apart.
+    std::string trickle;
+    /// Whether it closes after the bytes, or is silent.
+    bool closes = true;
+    /// Whether it closes with a reset before it has read the request.
+    bool resets = false;
+  };
+
+  explicit RawEngine(Options options)
+      : options_(std::move(options)),
+        acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
+        thread_([this] { Serve(); }) {}
+  ~RawEngine() {
+    done_ = true;
+    thread_.join();
+  }
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  void Serve() {
+    tcp::socket socket = acceptor_.accept();
+    boost::system::error_code error;
+    if (options_.resets) {
+      socket.set_option(asio::socket_base::linger(true, 0));
+      return;
+    }
+    std::string request(64UL * 1024, ' ');
+    socket.read_some(asio::buffer(request), error);
+    asio::write(socket, asio::buffer(options_.bytes), error);
+    while (!done_ && !error && !options_.closes) {
+      asio::write(socket, asio::buffer(options_.trickle), error);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+
+  Options options_;
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> done_{false};
+  std::thread thread_;
+};
+
+GenerateOrder OrderFor(const std::string& address) {
+  GenerateOrder order;
+  order.request = RequestId("r");
+  order.messages = "[]";
+  order.max_tokens = 4;
+  order.chain = {{EndpointId("a"), address, {0, 4}}};
+  return order;
+}
+
+/// Opens and reads events until the failure that must come.
+asio::awaitable<Failure> FailureOf(std::string address, milliseconds timeout) {
+  HttpEngineClient client(milliseconds(200));
+  const GenerateOrder order = OrderFor(address);
+  auto stream = co_await client.Open(order, timeout);
+  if (!stream) {
+    co_return stream.error();
+  }
+  for (;;) {
+    auto event = co_await stream->Next(timeout);
+    if (!event) {
+      co_return event.error();
+    }
+  }
+}
+
+Failure Ask(RawEngine::Options options) {
+  const RawEngine engine(std::move(options));
+  const Failure failure =
+      support::Run(FailureOf(engine.address(), milliseconds(300)));
+  REQUIRE(failure.where == engine.address());
+  return failure;
+}
+
+std::string Response(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status +
+         "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+/// A stream that goes on after `lines`.
+std::string Begun(const std::string& lines) {
+  return "HTTP/1.1 200 OK\r\ncontent-length: 9999999\r\n\r\n" + lines;
+}
+
+const std::string kToken =
+    R"({"request":"r","attempt":1,"position":0,"token":" w"})"
+    "\n";
+
+TEST_CASE("not run is said only where it is proved") {
+  SECTION("nobody listens") {
+    std::string address;
+    {
+      asio::io_context context;
+      const tcp::acceptor closed(context,
+                                 {asio::ip::address_v4::loopback(), 0});
+      address = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+    }
+    const auto failure = support::Run(FailureOf(address, milliseconds(300)));
+    REQUIRE(failure.code == Errc::kConnectionRefused);
+    REQUIRE(failure.outcome == Outcome::kNotRun);
+  }
+  SECTION("a reset while the request is sent") {
+    const auto failure = Ask({.resets = true});
+    REQUIRE(failure.code == Errc::kConnectionLost);
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("a close after the request was read") {
+    const auto failure = Ask({.bytes = ""});
+    REQUIRE(failure.code == Errc::kConnectionLost);
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("silence after the request was read") {
+    const auto failure = Ask({.closes = false});
+    REQUIRE(failure.code == Errc::kStalled);
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("a typed refusal") {
+    const auto failure = Ask(
+        {.bytes = Response("409 Conflict",
+                           R"({"error":{"type":"overloaded","ran":false}})")});
+    REQUIRE(failure.code == Errc::kEndpointRefused);
+    REQUIRE(failure.outcome == Outcome::kNotRun);
+  }
+  SECTION("a refusal that was cut") {
+    const auto failure =
+        Ask({.bytes = "HTTP/1.1 409 Conflict\r\ncontent-length: 100\r\n\r\n"
+                      R"({"error":{"type":"overloaded","ran":false}})"});
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("a refusal that does not say whether it ran") {
+    const auto failure =
+        Ask({.bytes = Response("409 Conflict",
+                               R"({"error":{"type":"overloaded"}})")});
+    REQUIRE(failure.code == Errc::kBadEndpointAnswer);
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("an error page of something in between") {
+    const auto failure =
+        Ask({.bytes = Response("502 Bad Gateway", "<html></html>")});
+    REQUIRE(failure.code == Errc::kBadEndpointAnswer);
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("a typed refusal inside a stream that has begun") {
+    const auto failure =
+        Ask({.bytes = Begun(R"({"error":{"type":"overloaded","ran":false}})"
+                            "\n")});
+    REQUIRE(failure.outcome == Outcome::kUnknown);
+  }
+  SECTION("a typed failure inside a stream") {
+    const auto failure =
+        Ask({.bytes = Begun(kToken +
+                            R"({"error":{"type":"stage_failed","ran":true}})"
+                            "\n")});
+    REQUIRE(failure.code == Errc::kEndpointFailed);
+    REQUIRE(failure.outcome == Outcome::kFailed);
+  }
+}
+
+TEST_CASE("wrong bytes are typed as the endpoint's fault") {
+  std::string bytes;
+  SECTION("no HTTP") {
+    bytes = "\x01\x02 hello\r\n\r\n";
+  }
+  SECTION("a header without end") {
+    bytes = "HTTP/1.1 200 OK\r\nx: " + std::string(100'000, 'x');
+  }
+  SECTION("no JSON") {
+    bytes = Begun("{]\n");
+  }
+  SECTION("JSON that is no object") {
+    bytes = Begun("[1]\n");
+  }
+  SECTION("a position that is no number") {
+    bytes = Begun(R"({"request":"r","attempt":1,"position":"0","token":"w"})"
+                  "\n");
+  }
+  SECTION("a negative position") {
+    bytes = Begun(R"({"request":"r","attempt":1,"position":-1,"token":"w"})"
+                  "\n");
+  }
+  SECTION("a token that is no string") {
+    bytes = Begun(R"({"request":"r","attempt":1,"position":0,"token":7})"
+                  "\n");
+  }
+  SECTION("an error that is no object") {
+    bytes = Begun("{\"error\":1}\n");
+  }
+  SECTION("a line without end") {
+    bytes = Begun(kToken + std::string(200'000, 'x'));
+  }
+  SECTION("deep nesting") {
+    bytes = Begun(std::string(10'000, '[') + "\n");
+  }
+  const auto failure = Ask({.bytes = bytes, .closes = false});
+  REQUIRE(failure.code == Errc::kBadEndpointAnswer);
+  REQUIRE(failure.outcome == Outcome::kUnknown);
+}
+
+TEST_CASE("a stream that ends without its end marker is a loss") {
+  const auto failure = Ask({.bytes = Response("200 OK", kToken)});
+  REQUIRE(failure.code == Errc::kConnectionLost);
+  REQUIRE(failure.outcome == Outcome::kUnknown);
+}
+
+TEST_CASE("bytes that trickle in lengthen no wait") {
+  RawEngine::Options options{.trickle = "x", .closes = false};
+  SECTION("in the header") {
+    options.bytes = "HTTP/1.1 200 OK\r\nx: ";
+  }
+  SECTION("in a line") {
+    options.bytes = Begun("");
+  }
+  SECTION("in a refusal") {
+    options.bytes = "HTTP/1.1 409 Conflict\r\ncontent-length: 99999\r\n\r\n";
+  }
+  const auto before = std::chrono::steady_clock::now();
+  const auto failure = Ask(options);
+  REQUIRE(failure.code == Errc::kStalled);
+  REQUIRE(failure.outcome == Outcome::kUnknown);
+  REQUIRE(std::chrono::steady_clock::now() - before < std::chrono::seconds(5));
+}
+
+}  // namespace
+}  // namespace sycamoreford
