--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -12,6 +12,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "sycamoreford/core/clock.h"
+#include "sycamoreford/core/log.h"
 #include "sycamoreford/route/chain_planner.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/stream/answer_progress.h"
@@ -109,6 +110,12 @@
       }
       fruitless = progress.delivered().size() > had ? 0 : fruitless + 1;
       Blame(*chain, last, tracking);
+      LogEvent(Severity::kInfo, "attempt_failed")
+          .With("request", order.request.value())
+          .With("attempt", attempts_)
+          .With("error", ToString(last.code))
+          .With("outcome", ToString(last.outcome))
+          .With("where", last.where);
     }
     last.outcome = outcome;
     if (last.code != Errc::kDeadlineExceeded) {
--- a/tests/fakes/fake_stage.cc
+++ b/tests/fakes/fake_stage.cc
@@ -141,7 +141,8 @@
   const HttpRequest& request = exchange.request();
   if (request.target == "/fake/fault") {
     SetFault(json::parse(request.body));
-    co_await exchange.Respond({});
+    const HttpResponse done;
+    co_await exchange.Respond(done);
     co_return;
   }
   if (request.target == "/fake/ran") {
@@ -256,20 +257,24 @@
                                           const json::value& order) {
   const json::array& chain = order.at("chain").as_array();
   if (fault_ == StageFault::kRefuse) {
-    co_await exchange.Respond(Refusal("overloaded", address()));
+    const HttpResponse refusal = Refusal("overloaded", address());
+    co_await exchange.Respond(refusal);
     co_return;
   }
   if (leaving_) {
-    co_await exchange.Respond(Refusal("leaving", address()));
+    const HttpResponse refusal = Refusal("leaving", address());
+    co_await exchange.Respond(refusal);
     co_return;
   }
   if (Text(order, "model") != options_.model ||
       Text(order, "version") != options_.version) {
-    co_await exchange.Respond(Refusal("wrong_version", address()));
+    const HttpResponse refusal = Refusal("wrong_version", address());
+    co_await exchange.Respond(refusal);
     co_return;
   }
   if (!FitsRange(chain.front())) {
-    co_await exchange.Respond(Refusal("layer_range_changed", address()));
+    const HttpResponse refusal = Refusal("layer_range_changed", address());
+    co_await exchange.Respond(refusal);
     co_return;
   }
   std::unique_ptr<Link> link;
@@ -280,8 +285,9 @@
       const json::value ready =
           co_await link->Call("/v1/prepare", RestOfChain(chain));
       if (const json::value* error = ready.as_object().if_contains("error")) {
-        co_await exchange.Respond(
-            Refusal(Text(*error, "type"), Text(*error, "address")));
+        const HttpResponse refusal =
+            Refusal(Text(*error, "type"), Text(*error, "address"));
+        co_await exchange.Respond(refusal);
         co_return;
       }
     } catch (const StageFailed& failed) {
@@ -289,8 +295,9 @@
       link = nullptr;
     }
     if (link == nullptr) {
-      co_await exchange.Respond(
-          Refusal("stage_unreachable", Text(chain[1], "address")));
+      const HttpResponse refusal =
+          Refusal("stage_unreachable", Text(chain[1], "address"));
+      co_await exchange.Respond(refusal);
       co_return;
     }
   }
