--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -202,18 +202,41 @@
   }
 }
 
+/// Runs the handler. An exception must not leave it: the wait for the caller's
+/// end, which runs beside it, would then have to end first.
 template <class State>
-asio::awaitable<void> Handle(const std::shared_ptr<State>& state,
+asio::awaitable<void> RunHandler(std::shared_ptr<State> state,
+                                 BeastExchange& exchange) {
+  try {
+    co_await state->handler(exchange);
+  } catch (const std::exception& error) {
+    exchange.EndConnection();
+    LogEvent(Severity::kDebug, "exchange_ended").With("reason", error.what());
+  }
+}
+
+template <class State>
+asio::awaitable<void> Handle(std::shared_ptr<State> state,
                              beast::tcp_stream& stream,
                              BeastExchange& exchange) {
   using namespace asio::experimental::awaitable_operators;  // NOLINT
+  bool is_gone = false;
   ++state->active;
   try {
-    co_await (state->handler(exchange) || WaitUntilGone(stream.socket()));
+    const auto first = co_await (RunHandler(state, exchange) ||
+                                 WaitUntilGone(stream.socket()));
+    is_gone = first.index() == 1;
   } catch (const std::exception& error) {
+    is_gone = true;
     LogEvent(Severity::kDebug, "exchange_ended").With("reason", error.what());
   }
   --state->active;
+  if (!is_gone && !exchange.is_answered()) {
+    HttpResponse response;
+    response.status = 500;
+    response.body = R"({"error":{"type":"internal","outcome":"unknown"}})";
+    co_await exchange.Respond(std::move(response));
+  }
 }
 
 /// Reads one request; empty when the connection ended or broke.
--- a/tests/engine_client_test.cc
+++ b/tests/engine_client_test.cc
@@ -10,6 +10,7 @@
 
 #include "support/run.h"
 #include "sycamoreford/adapters/http_engine_client.h"
+#include "sycamoreford/adapters/http_server.h"
 
 namespace sycamoreford {
 namespace {
@@ -250,5 +251,40 @@
   REQUIRE(std::chrono::steady_clock::now() - before < std::chrono::seconds(5));
 }
 
+/// Asks a server in this process whose handler is `handler`.
+Result<HttpResponse> AskServer(HttpHandler handler) {
+  asio::io_context context;
+  HttpServer server(context, "127.0.0.1:0", {}, std::move(handler));
+  std::thread thread([&] { context.run(); });
+  const HttpRequest request;
+  auto answer = support::Run(
+      FetchHttp(server.address(), request, std::chrono::seconds(2), 1'000));
+  context.stop();
+  thread.join();
+  return answer;
+}
+
+TEST_CASE("a handler that throws holds no caller") {
+  SECTION("before the answer began") {
+    const auto answer = AskServer([](HttpExchange&) -> asio::awaitable<void> {
+      throw std::runtime_error("fault");
+      co_return;
+    });
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->status == 500);
+    REQUIRE(answer->body.find(R"("outcome":"unknown")") != std::string::npos);
+  }
+  SECTION("in the middle of the answer") {
+    const auto answer =
+        AskServer([](HttpExchange& exchange) -> asio::awaitable<void> {
+          const HttpResponse header;
+          co_await exchange.BeginStream(header);
+          throw std::runtime_error("fault");
+        });
+    REQUIRE_FALSE(answer.has_value());
+    REQUIRE(answer.error().code == Errc::kConnectionLost);
+  }
+}
+
 }  // namespace
 }  // namespace sycamoreford
--- a/tests/stage_failure_test.cc
+++ b/tests/stage_failure_test.cc
@@ -170,16 +170,22 @@
 
 TEST_CASE("a caller that goes away stops the work and blames nobody") {
   Stand stand({});
+  stand.stage("b0").process.Signal(SIGKILL);
   const auto gone = Fetch(stand.callers(0), Stand::Chat("Ring", 2'000, false),
                           milliseconds(400));
   REQUIRE_FALSE(gone.has_value());
+  for (int i = 0; i < 5; ++i) {
+    // The only chain that is left serves on.
+    const auto next = Fetch(stand.callers(0), Stand::Chat("Plan", 3, false));
+    REQUIRE(next.has_value());
+    INFO(next->body << stand.daemon(0).Output());
+    REQUIRE(next->status == 200);
+  }
   std::this_thread::sleep_for(milliseconds(500));
-  const std::size_t a = RanAt(stand, "a2");
-  const std::size_t b = RanAt(stand, "b2");
-  REQUIRE(a + b > 0);
+  const std::size_t ran = RanAt(stand, "a2");
+  REQUIRE(ran > 15);
   std::this_thread::sleep_for(milliseconds(500));
-  REQUIRE(RanAt(stand, "a2") == a);
-  REQUIRE(RanAt(stand, "b2") == b);
+  REQUIRE(RanAt(stand, "a2") == ran);
 }
 
 TEST_CASE("a frozen chain and a short deadline end in time") {
