--- a/include/sycamoreford/config/config_editor.h
+++ b/include/sycamoreford/config/config_editor.h
@@ -8,6 +8,7 @@
 
 #include "sycamoreford/config/config_follower.h"
 #include "sycamoreford/config/config_keys.h"
+#include "sycamoreford/config/read_config.h"
 #include "sycamoreford/table/table_client.h"
 
 namespace sycamoreford {
@@ -47,20 +48,18 @@
   /// Precondition: `table` outlives this object.
   explicit ConfigEditor(Table& table) : table_(table) {}
 
-  /// Applies a change on top of the newest revision in the table.
+  /// Makes the change on top of the newest revision in the table.
   ///
   /// \param follower brought up to date with the table on the way.
   /// \param now time at which the call starts.
-  /// \returns the accepted change; in a dry run the change that would be made.
-  ///     Errors: `kConflict` when `expected` is not the newest revision or
-  ///     another change came first; validation errors of
-  ///     `Configuration::Apply`; `kTableUnavailable` (certainly not accepted);
-  ///     `kTableAnswerLost` (unknown) when reading back failed as well: call
-  ///     `Settle` until it tells.
-  boost::asio::awaitable<Result<v1::Change>> Apply(ConfigFollower& follower,
-                                                   const ChangeRequest& request,
-                                                   const ChangeOrigin& origin,
-                                                   TimePoint now) {
+  /// \returns the change as it would be written. Errors: `kConflict` when
+  ///     `expected` is not the newest revision; validation errors of
+  ///     `Configuration::Apply`; `kTableUnavailable`; `kMalformed`.
+  boost::asio::awaitable<Result<v1::Change>> Prepare(
+      ConfigFollower& follower,
+      const ChangeRequest& request,
+      const ChangeOrigin& origin,
+      TimePoint now) {
     auto caught_up = co_await CatchUp(follower, now);
     if (!caught_up) {
       co_return caught_up.error();
@@ -75,16 +74,39 @@
       co_return next.error();
     }
     change.set_digest(next->digest());
-    if (request.dry_run) {
+    pending_ = change;
+    next_ = std::move(*next);
+    co_return change;
+  }
+
+  /// Writes the change that `Prepare` made.
+  ///
+  /// Precondition: `Prepare` returned a change.
+  /// \returns the accepted change. Errors: `kConflict` when another change
+  ///     came first; `kTableUnavailable` (certainly not accepted);
+  ///     `kTableAnswerLost` (unknown) when reading back failed as well: call
+  ///     `Settle` until it tells.
+  boost::asio::awaitable<Result<v1::Change>> Commit(ConfigFollower& follower,
+                                                    TimePoint now) {
+    co_return co_await Write(follower, next_, now);
+  }
+
+  /// `Prepare`, and `Commit` unless it is a dry run.
+  boost::asio::awaitable<Result<v1::Change>> Apply(ConfigFollower& follower,
+                                                   const ChangeRequest& request,
+                                                   const ChangeOrigin& origin,
+                                                   TimePoint now) {
+    auto change = co_await Prepare(follower, request, origin, now);
+    if (!change || request.dry_run) {
       co_return change;
     }
-    pending_ = change;
-    co_return co_await Write(follower, *next, now);
+    co_return co_await Commit(follower, now);
   }
 
-  /// Settles the change whose outcome `Apply` left unknown. Returns as `Apply`.
+  /// Settles the change whose outcome `Commit` left unknown. Returns as
+  /// `Commit`.
   ///
-  /// Precondition: `Apply` returned `kTableAnswerLost`.
+  /// Precondition: `Commit` returned `kTableAnswerLost`.
   boost::asio::awaitable<Result<v1::Change>> Settle(ConfigFollower& follower,
                                                     TimePoint now) {
     for (int i = 0; i < kReadBackTries; ++i) {
@@ -124,38 +146,14 @@
     return change;
   }
 
-  /// Brings the follower to exactly the table's head.
   boost::asio::awaitable<Result<Revision>> CatchUp(ConfigFollower& follower,
                                                    TimePoint now) {
-    int stale_reads = 0;
-    int malformed_reads = 0;
-    for (;;) {
-      const Revision before = follower.current()->revision();
-      auto rows = co_await table_.Read(follower.NextRead());
-      if (!rows) {
-        co_return rows.error();
-      }
-      auto head = follower.OfferRows(*rows, now);
-      const Revision after = follower.current()->revision();
-      if (!head) {
-        // The next read asks for the snapshot as well.
-        if (after == before && ++malformed_reads > 1) {
-          co_return head.error();
-        }
-        continue;
-      }
-      if (*head == after) {
-        head_version_ = VersionOf(*rows, kConfigHeadKey);
-        co_return *head;
-      }
-      if (*head < after && ++stale_reads >= kReadBackTries) {
-        co_return Failure{.code = Errc::kTableUnavailable,
-                          .where = "stale head"};
-      }
-      if (*head > after && after == before) {
-        co_return Failure{.code = Errc::kMalformed, .where = "config changes"};
-      }
+    auto head = co_await ReadConfig(table_, follower, now);
+    if (!head) {
+      co_return head.error();
     }
+    head_version_ = head->version;
+    co_return head->revision;
   }
 
   static const TableRow* FindRow(const std::vector<TableRow>& rows,
@@ -247,6 +245,7 @@
   Table& table_;
   std::uint64_t head_version_ = 0;
   v1::Change pending_;
+  Configuration next_;
 };
 
 }  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/config/config_node.h
@@ -0,0 +1,275 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "sycamoreford/config/config_editor.h"
+#include "sycamoreford/config/config_exchange.h"
+#include "sycamoreford/config/config_follower.h"
+#include "sycamoreford/config/read_config.h"
+#include "sycamoreford/config/serve_gate.h"
+#include "sycamoreford/membership/membership.h"
+
+namespace sycamoreford {
+
+/// What a node asks of its surroundings.
+struct NodeHooks {
+  /// The present moment.
+  std::function<Instant()> now;
+  /// Sends messages; they may be lost.
+  std::function<void(std::vector<PeerOrder>)> send;
+  /// Lets this much time pass.
+  std::function<boost::asio::awaitable<void>(std::chrono::milliseconds)> wait;
+};
+
+/// One daemon's part in the configuration: follows the table and the peers,
+/// writes operators' changes and tells whether the daemon may serve.
+///
+/// All time, messages and table calls come from outside. Thread safety: none;
+/// the owner runs all calls on one strand. Coroutines may interleave.
+template <TableClient Table>
+class ConfigNode {
+ public:
+  /// \param grace as for `ServeGate`. Precondition: `table` outlives this.
+  ConfigNode(Table& table,
+             Membership membership,
+             Duration grace,
+             NodeHooks hooks)
+      : table_(table),
+        membership_(std::move(membership)),
+        gate_(grace),
+        hooks_(std::move(hooks)),
+        started_(hooks_.now().now) {}
+
+  /// Sends the gossip of one interval.
+  void Tick(bool draining) {
+    std::vector<PeerOrder> orders;
+    auto order = membership_.Tick(hooks_.now(), Status(draining));
+    if (order) {
+      (void)exchange_.Ask(order->message);
+      orders.push_back(std::move(*order));
+    }
+    hooks_.send(std::move(orders));
+  }
+
+  /// Takes a peer's message in and answers it.
+  ///
+  /// \returns `kMalformed` when it breaks the schema's rules; then nothing of
+  ///     it was taken.
+  Result<void> Receive(const v1::PeerMessage& message) {
+    const Instant at = hooks_.now();
+    auto orders = membership_.Receive(message, at);
+    if (!orders) {
+      return orders.error();
+    }
+    const Revision before = follower_.current()->revision();
+    PeerOrder answer = membership_.OrderTo(message.reply_to());
+    const bool has_answer = exchange_.TakeIn(message, answer.message, at.now);
+    answer.message.set_revision(follower_.current()->revision().value());
+    if (has_answer) {
+      orders->push_back(std::move(answer));
+    }
+    for (const std::string& write_id : message.acknowledged()) {
+      const auto found = acknowledged_.find(write_id);
+      if (found != acknowledged_.end()) {
+        found->second.insert(message.sender());
+      }
+    }
+    hooks_.send(std::move(*orders));
+    PushSince(before);
+    return {};
+  }
+
+  /// Reads the table once, until the follower is at its head.
+  ///
+  /// \returns the head's revision; errors as for `ReadConfig`.
+  boost::asio::awaitable<Result<Revision>> Poll() {
+    const TimePoint started = hooks_.now().now;
+    auto head = co_await ReadConfig(table_, follower_, started);
+    NoteTable(head.has_value() || head.error().code == Errc::kMalformed);
+    if (!head) {
+      co_return head.error();
+    }
+    exchange_.announcements().TableRead(started);
+    if (started >= started_ + kLongestApply) {
+      has_settled_ = true;
+    }
+    co_return head->revision;
+  }
+
+  /// Writes an operator's change: announces it to the peers, waits until a
+  /// majority has acknowledged that, writes it and pushes it.
+  ///
+  /// \returns as `ConfigEditor::Commit`, or `kConfigUnconfirmed` (not run) when
+  ///     no majority of the known daemons is in reach.
+  boost::asio::awaitable<Result<v1::Change>> Apply(ChangeRequest request,
+                                                   ChangeOrigin origin) {
+    ConfigEditor<Table> editor(table_);
+    auto change =
+        co_await editor.Prepare(follower_, request, origin, hooks_.now().now);
+    NoteTable(change.has_value() ||
+              change.error().code != Errc::kTableUnavailable);
+    if (!change || request.dry_run) {
+      co_return change;
+    }
+    const bool is_announced = co_await Announce(*change);
+    if (!is_announced) {
+      Withdraw(origin.write_id);
+      co_return Failure{.code = Errc::kConfigUnconfirmed,
+                        .where = "peers",
+                        .retry_after = kRetryAfter};
+    }
+    const Revision before = follower_.current()->revision();
+    auto written = co_await editor.Commit(follower_, hooks_.now().now);
+    for (int i = 0; i < kSettleTries && IsUnknown(written); ++i) {
+      co_await hooks_.wait(kSettleInterval);
+      written = co_await editor.Settle(follower_, hooks_.now().now);
+    }
+    if (!written && !IsUnknown(written)) {
+      Withdraw(origin.write_id);
+    }
+    PushSince(before);
+    co_return written;
+  }
+
+  /// Whether the daemon may take new requests, and until when.
+  [[nodiscard]] ServeDecision Serve() {
+    const TimePoint now = hooks_.now().now;
+    std::vector<PeerStatement> peers;
+    for (const MemberState& member : membership_.Others(now)) {
+      peers.push_back({.made_at = member.made_at,
+                       .revision = member.status.revision,
+                       .table_reachable = member.status.table_reachable,
+                       .vouches = member.status.vouches});
+    }
+    const OwnStatement own{.revision = follower_.current()->revision(),
+                           .confirmed_at = follower_.confirmed_at(),
+                           .is_behind = IsBehind(),
+                           .vouches = Vouches(),
+                           .known = membership_.largest_known()};
+    return gate_.Decide(now, own, peers);
+  }
+
+  /// Tells peers of a planned exit.
+  void Leave() { hooks_.send(membership_.Leave(hooks_.now(), Status(true))); }
+
+  [[nodiscard]] ConfigFollower& follower() noexcept { return follower_; }
+  [[nodiscard]] Membership& membership() noexcept { return membership_; }
+  [[nodiscard]] ConfigExchange& exchange() noexcept { return exchange_; }
+  [[nodiscard]] bool table_reachable() const noexcept {
+    return table_reachable_;
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kAckInterval{20};
+  static constexpr int kAckTries = 100;
+  static constexpr std::chrono::milliseconds kSettleInterval{500};
+  static constexpr int kSettleTries = 16;
+  /// Longest time from an announcement to the end of the write, but for writes
+  /// that the table itself delays.
+  static constexpr std::chrono::seconds kLongestApply{15};
+  static constexpr std::chrono::milliseconds kRetryAfter{2'000};
+
+  static bool IsUnknown(const Result<v1::Change>& result) {
+    return !result && result.error().code == Errc::kTableAnswerLost;
+  }
+
+  void NoteTable(bool reachable) noexcept { table_reachable_ = reachable; }
+
+  /// Whether any announcement that a former life of this daemon acknowledged
+  /// has been settled, and none stands now.
+  bool Vouches() { return has_settled_ && !IsBehind(); }
+
+  bool IsBehind() {
+    return exchange_.IsAnnounced() ||
+           follower_.newest_heard() > follower_.current()->revision();
+  }
+
+  MemberStatus Status(bool draining) {
+    return {.revision = follower_.current()->revision(),
+            .table_reachable = table_reachable_,
+            .vouches = Vouches(),
+            .draining = draining};
+  }
+
+  /// Sends to all other members that `fill` has something for.
+  void SendAll(const std::function<void(v1::PeerMessage&)>& fill) {
+    std::vector<PeerOrder> orders;
+    for (const MemberState& member : membership_.Others(hooks_.now().now)) {
+      PeerOrder order = membership_.OrderTo(member.info.address);
+      fill(order.message);
+      orders.push_back(std::move(order));
+    }
+    hooks_.send(std::move(orders));
+  }
+
+  boost::asio::awaitable<bool> Announce(const v1::Change& change) {
+    const Revision revision(change.revision());
+    const std::string write_id = change.write_id();
+    (void)exchange_.announcements().Add(revision, write_id, hooks_.now().now);
+    acknowledged_[write_id] = {};
+    SendAll([&](v1::PeerMessage& message) {
+      v1::Announcement* item = message.add_announcements();
+      item->set_revision(change.revision());
+      item->set_write_id(write_id);
+    });
+    bool is_enough = false;
+    for (int i = 0; i < kAckTries && !is_enough; ++i) {
+      const std::size_t known =
+          std::max(membership_.known(), membership_.largest_known());
+      is_enough =
+          acknowledged_[write_id].size() >= ServeGate::OthersForMajority(known);
+      if (!is_enough) {
+        co_await hooks_.wait(kAckInterval);
+      }
+    }
+    acknowledged_.erase(write_id);
+    co_return is_enough;
+  }
+
+  void Withdraw(const std::string& write_id) {
+    exchange_.announcements().Withdraw(write_id);
+    SendAll([&](v1::PeerMessage& message) { message.add_withdrawn(write_id); });
+  }
+
+  /// Passes on the changes that came into force after `before`.
+  void PushSince(Revision before) {
+    const Revision revision = follower_.current()->revision();
+    if (revision <= before) {
+      return;
+    }
+    std::vector<PeerOrder> orders;
+    for (const std::string& target :
+         membership_.PushTargets(hooks_.now().now)) {
+      PeerOrder order = membership_.OrderTo(target);
+      order.message.set_revision(revision.value());
+      for (const v1::Change& change : follower_.recent_changes()) {
+        if (change.revision() > before.value()) {
+          *order.message.add_changes() = change;
+        }
+      }
+      orders.push_back(std::move(order));
+    }
+    hooks_.send(std::move(orders));
+  }
+
+  Table& table_;
+  Membership membership_;
+  ServeGate gate_;
+  NodeHooks hooks_;
+  ConfigFollower follower_;
+  ConfigExchange exchange_{follower_};
+  bool table_reachable_ = false;
+  /// Daemons that acknowledged the announcement of each pending write id.
+  std::map<std::string, std::set<std::string>> acknowledged_;
+  TimePoint started_;
+  bool has_settled_ = false;
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/config/read_config.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "sycamoreford/config/config_follower.h"
+#include "sycamoreford/config/config_keys.h"
+#include "sycamoreford/table/table_client.h"
+
+namespace sycamoreford {
+
+/// The head row as read.
+struct ConfigHead {
+  Revision revision{};
+  /// Version of the row; 0 when it is absent.
+  std::uint64_t version = 0;
+};
+
+/// Reads until the follower is at exactly the table's head.
+///
+/// \param now no later than when the first read starts.
+/// \returns the head. Errors: `kTableUnavailable`, also when the table goes on
+///     to answer an older head than the revision in force; `kMalformed` when
+///     neither the changes nor the snapshot lead to the head. What was read
+///     until then is in force.
+template <TableClient Table>
+boost::asio::awaitable<Result<ConfigHead>> ReadConfig(Table& table,
+                                                      ConfigFollower& follower,
+                                                      TimePoint now) {
+  constexpr int kFruitlessReads = 3;
+  for (int fruitless = 0; fruitless < kFruitlessReads;) {
+    const Revision before = follower.current()->revision();
+    auto rows = co_await table.Read(follower.NextRead());
+    if (!rows) {
+      co_return rows.error();
+    }
+    auto head = follower.OfferRows(*rows, now);
+    const Revision after = follower.current()->revision();
+    if (head && *head == after) {
+      ConfigHead found{*head, 0};
+      for (const TableRow& row : *rows) {
+        if (row.key == kConfigHeadKey) {
+          found.version = row.version;
+        }
+      }
+      co_return found;
+    }
+    if (after > before) {
+      continue;
+    }
+    ++fruitless;
+    if (fruitless < kFruitlessReads) {
+      continue;
+    }
+    if (!head) {
+      co_return head.error();
+    }
+    if (*head > after) {
+      co_return Failure{.code = Errc::kMalformed, .where = "config changes"};
+    }
+  }
+  co_return Failure{.code = Errc::kTableUnavailable, .where = "stale head"};
+}
+
+}  // namespace sycamoreford
--- a/include/sycamoreford/config/serve_gate.h
+++ b/include/sycamoreford/config/serve_gate.h
@@ -19,6 +19,26 @@
   Revision revision{};
   /// Whether it reached the table then.
   bool table_reachable = false;
+  /// Whether it vouched that no change above its revision had been announced
+  /// to it. A daemon that has just started can't: its former life may have
+  /// acknowledged an announcement.
+  bool vouches = false;
+};
+
+/// What a daemon knows of itself.
+struct OwnStatement {
+  /// Revision in force here.
+  Revision revision{};
+  /// When the table's head was last known to be that revision.
+  std::optional<TimePoint> confirmed_at{};
+  /// Whether a change above the revision in force was announced here, or is in
+  /// force elsewhere.
+  bool is_behind = false;
+  /// As for `PeerStatement`.
+  bool vouches = false;
+  /// Number of daemons that there are by the largest view heard of, this one
+  /// included.
+  std::size_t known = 1;
 };
 
 /// Why a daemon may or may not take new requests.
@@ -49,16 +69,17 @@
 /// Decides whether a daemon may go on to take new requests on the
 /// configuration that it has in force, and whether it may accept a change.
 ///
-/// The two sides lean on one another. A daemon without the table serves only
-/// on statements of a majority, none older than the grace. A change is accepted
-/// only by a daemon that hears from a majority, which is sent the change at
-/// once. Two majorities of one set of daemons share a member, whose statement
-/// after it took the change shows a higher revision.
+/// The two sides lean on one another. Before a change is written to the table
+/// it is announced, and a majority of the known daemons acknowledges that. A
+/// daemon without the table serves only on statements of a majority, none older
+/// than the grace, which vouch that no change was announced. Two majorities of
+/// one set share a member; its statement of after the announcement stops the
+/// daemon, so it serves on at most one grace after the change was accepted.
 ///
-/// What remains: the daemons' views may differ while daemons are new or have
-/// been forgotten, and then two majorities need not share a member; a majority
-/// may lose the push and not be polling; a machine whose monotonic clock stops
-/// while it is suspended sees statements as younger than they are.
+/// What remains: the views of daemons may differ while some are new, and two
+/// majorities of different sets need not share a member; wall clocks that
+/// differ make statements seem younger by the difference at each hop; a machine
+/// whose clocks stop while it is suspended needs one tick to notice.
 ///
 /// No I/O and no clock of its own. Thread safe: immutable.
 class ServeGate {
@@ -66,25 +87,21 @@
   /// \param grace longest age of a confirmation or a statement.
   explicit ServeGate(Duration grace) : grace_(grace) {}
 
-  /// \param revision in force here. \param confirmed_at when the table's head
-  ///     was last known to be it. \param peers all other known daemons, also
-  ///     those never heard of or silent.
+  /// \param peers all other known daemons, also the silent ones.
   [[nodiscard]] ServeDecision Decide(
       TimePoint now,
-      Revision revision,
-      std::optional<TimePoint> confirmed_at,
+      const OwnStatement& own,
       const std::vector<PeerStatement>& peers) const;
 
-  /// Whether a majority of the known daemons, this one included, is heard.
-  [[nodiscard]] bool HearsMajority(
-      TimePoint now,
-      const std::vector<PeerStatement>& peers) const;
+  /// Daemons besides this one that make a majority with it.
+  [[nodiscard]] static std::size_t OthersForMajority(std::size_t known) {
+    return known / 2;
+  }
 
  private:
-  [[nodiscard]] bool IsFresh(TimePoint now, const PeerStatement& peer) const;
   [[nodiscard]] ServeDecision DecideByPeers(
       TimePoint now,
-      Revision revision,
+      const OwnStatement& own,
       const std::vector<PeerStatement>& peers) const;
 
   Duration grace_;
--- a/include/sycamoreford/membership/membership.h
+++ b/include/sycamoreford/membership/membership.h
@@ -9,6 +9,7 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/failure.h"
+#include "sycamoreford/membership/instant.h"
 #include "sycamoreford/membership/member_info.h"
 #include "sycamoreford/membership/member_state.h"
 #include "sycamoreford/membership/membership_options.h"
@@ -53,11 +54,11 @@
   /// Makes a statement and picks the peer to send to. Call every interval.
   ///
   /// \returns the message, or nothing when no other member is known.
-  [[nodiscard]] std::optional<PeerOrder> Tick(TimePoint now,
+  [[nodiscard]] std::optional<PeerOrder> Tick(Instant at,
                                               const MemberStatus& status);
 
   /// The message that introduces this daemon to an address outside the view.
-  [[nodiscard]] PeerOrder Greeting(const std::string& address, TimePoint now);
+  [[nodiscard]] PeerOrder Greeting(const std::string& address, Instant at);
 
   /// Takes a peer's message in.
   ///
@@ -65,11 +66,10 @@
   ///     schema's rules; then nothing of it was taken.
   [[nodiscard]] Result<std::vector<PeerOrder>> Receive(
       const v1::PeerMessage& message,
-      TimePoint now);
+      Instant at);
 
   /// The last message before a planned exit, to `push_fan_out` peers.
-  [[nodiscard]] std::vector<PeerOrder> Leave(TimePoint now,
-                                             MemberStatus status);
+  [[nodiscard]] std::vector<PeerOrder> Leave(Instant at, MemberStatus status);
 
   /// Random live peers to pass a change on to; their addresses.
   [[nodiscard]] std::vector<std::string> PushTargets(TimePoint now);
@@ -92,6 +92,17 @@
   /// table's list. Two may think so for a while; tidying twice is harmless.
   [[nodiscard]] bool IsFirst(TimePoint now) const;
 
+  /// Number of known daemons, this one included, also the silent ones.
+  [[nodiscard]] std::size_t known() const;
+
+  /// The largest such number that a peer has told of in the last seconds.
+  [[nodiscard]] std::size_t largest_known() const noexcept {
+    return largest_known_;
+  }
+
+  /// An empty message of this daemon to an address.
+  [[nodiscard]] PeerOrder OrderTo(const std::string& address) const;
+
   [[nodiscard]] const MemberInfo& self() const noexcept { return self_; }
 
  private:
@@ -103,7 +114,7 @@
     TimePoint introduced{};
   };
 
-  [[nodiscard]] v1::PeerMessage MakeMessage(TimePoint now) const;
+  [[nodiscard]] v1::PeerMessage MakeMessage(Instant at) const;
   [[nodiscard]] Duration Silence() const;
   [[nodiscard]] bool IsAlive(const Record& record, TimePoint now) const;
   [[nodiscard]] std::vector<const Record*> Reachable(TimePoint now) const;
@@ -111,7 +122,7 @@
                      std::uint32_t heartbeat,
                      TimePoint made_at,
                      const MemberStatus& status);
-  void TakeGossip(const v1::PeerMessage& message, TimePoint now);
+  void TakeGossip(const v1::PeerMessage& message, Instant at);
   void Answer(const v1::PeerMessage& message, PeerOrder& answer) const;
 
   MemberInfo self_;
@@ -120,6 +131,8 @@
   std::uint32_t heartbeat_;
   MemberStatus status_;
   std::map<MemberId, Record> records_;
+  std::size_t largest_known_ = 0;
+  TimePoint known_at_{};
   std::mt19937_64 random_;
 };
 
--- a/include/sycamoreford/membership/membership_options.h
+++ b/include/sycamoreford/membership/membership_options.h
@@ -18,6 +18,8 @@
   std::chrono::milliseconds silence_per_member{130};
   /// A silent member is forgotten after this time, while the table is in reach.
   std::chrono::milliseconds forget_after{3'600'000};
+  /// Gossip of a sender whose wall clock is further ahead is dropped.
+  std::chrono::milliseconds clock_skew{1'000};
   /// Most introductions, or asks for them, in one message.
   std::size_t introductions = 16;
   /// Most members that are kept.
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -14,10 +14,12 @@
 constexpr std::uint32_t kTableReachable = 1;
 constexpr std::uint32_t kDraining = 2;
 constexpr std::uint32_t kLeft = 4;
+constexpr std::uint32_t kVouches = 8;
 
 std::uint32_t FlagsOf(const MemberStatus& status) {
   return (status.table_reachable ? kTableReachable : 0U) |
-         (status.draining ? kDraining : 0U) | (status.left ? kLeft : 0U);
+         (status.draining ? kDraining : 0U) | (status.left ? kLeft : 0U) |
+         (status.vouches ? kVouches : 0U);
 }
 
 /// The age on the wire; rounded up, so that no hop makes a statement younger.
@@ -121,11 +123,14 @@
          now - *record.made_at < Silence();
 }
 
-v1::PeerMessage Membership::MakeMessage(TimePoint now) const {
+v1::PeerMessage Membership::MakeMessage(Instant at) const {
+  const TimePoint now = at.now;
   v1::PeerMessage message;
   message.set_sender(self_.name);
   message.set_reply_to(self_.address);
   message.set_revision(status_.revision.value());
+  message.set_sent_unix_ms(at.wall.time_since_epoch().count());
+  message.set_members_known(static_cast<std::uint32_t>(known()));
   std::vector<std::pair<TimePoint, MemberId>> freshest;
   for (const auto& [id, record] : records_) {
     if (record.made_at) {
@@ -157,11 +162,19 @@
   return reachable;
 }
 
-std::optional<PeerOrder> Membership::Tick(TimePoint now,
+std::size_t Membership::known() const {
+  std::size_t count = 1;
+  for (const auto& [id, record] : records_) {
+    count += record.status.left ? 0 : 1;
+  }
+  return count;
+}
+
+std::optional<PeerOrder> Membership::Tick(Instant at,
                                           const MemberStatus& status) {
   ++heartbeat_;
   status_ = status;
-  std::vector<const Record*> peers = Reachable(now);
+  std::vector<const Record*> peers = Reachable(at.now);
   // Now and then one that is not heard of, so that parted groups meet again.
   constexpr std::uint64_t kProbe = 8;
   if (peers.empty() || random_() % kProbe == 0) {
@@ -176,11 +189,11 @@
     return std::nullopt;
   }
   const Record& peer = *peers[random_() % peers.size()];
-  return PeerOrder{peer.info.address, MakeMessage(now)};
+  return PeerOrder{peer.info.address, MakeMessage(at)};
 }
 
-PeerOrder Membership::Greeting(const std::string& address, TimePoint now) {
-  PeerOrder order{address, MakeMessage(now)};
+PeerOrder Membership::Greeting(const std::string& address, Instant at) {
+  PeerOrder order{address, MakeMessage(at)};
   *order.message.add_members() = ToMessage(self_);
   return order;
 }
@@ -191,7 +204,7 @@
                                const MemberStatus& status) {
   if (id == self_id_) {
     // An earlier life of this daemon went further; pass it over.
-    heartbeat_ = std::max(heartbeat_, heartbeat + 1);
+    heartbeat_ = std::max(heartbeat_, heartbeat);
     return;
   }
   const auto found = records_.find(id);
@@ -207,21 +220,25 @@
   record.status = status;
 }
 
-void Membership::TakeGossip(const v1::PeerMessage& message, TimePoint now) {
+void Membership::TakeGossip(const v1::PeerMessage& message, Instant at) {
+  const Duration transit =
+      at.wall - WallTime(std::chrono::milliseconds(message.sent_unix_ms()));
+  if (transit < -options_.clock_skew) {
+    return;
+  }
+  const TimePoint sent = at.now - std::max(transit, Duration::zero());
   const v1::Gossip& gossip = message.gossip();
   for (int i = 0; i < gossip.ids_size(); ++i) {
     const MemberStatus status{
         .revision = Revision(message.revision() - static_cast<std::uint64_t>(
                                                       gossip.revision_lags(i))),
         .table_reachable = (gossip.flags(i) & kTableReachable) != 0,
+        .vouches = (gossip.flags(i) & kVouches) != 0,
         .draining = (gossip.flags(i) & kDraining) != 0,
         .left = (gossip.flags(i) & kLeft) != 0};
     const std::uint32_t age = std::min(gossip.ages(i), kMostAge);
     const MemberId id(gossip.ids(i));
-    if (id == self_id_ && gossip.heartbeats(i) == heartbeat_) {
-      continue;
-    }
-    TakeStatement(id, gossip.heartbeats(i), now - age * kAgeUnit, status);
+    TakeStatement(id, gossip.heartbeats(i), sent - age * kAgeUnit, status);
   }
 }
 
@@ -249,7 +266,8 @@
 
 Result<std::vector<PeerOrder>> Membership::Receive(
     const v1::PeerMessage& message,
-    TimePoint now) {
+    Instant at) {
+  const TimePoint now = at.now;
   const auto introductions = static_cast<std::size_t>(message.members_size());
   if (message.sender().empty() || message.reply_to().empty() ||
       !HasEqualColumns(message.gossip(), options_.statements) ||
@@ -261,20 +279,30 @@
   for (const v1::Member& member : message.members()) {
     (void)Introduce(FromMessage(member), now);
   }
-  TakeGossip(message, now);
-  PeerOrder answer{message.reply_to(), {}};
+  TakeGossip(message, at);
+  if (now - known_at_ >= options_.silence_base ||
+      message.members_known() > largest_known_) {
+    largest_known_ = message.members_known();
+    known_at_ = now;
+  }
+  PeerOrder answer = OrderTo(message.reply_to());
   Answer(message, answer);
   std::vector<PeerOrder> answers;
   if (answer.message.members_size() > 0 ||
       answer.message.unknown_ids_size() > 0) {
-    answer.message.set_sender(self_.name);
-    answer.message.set_reply_to(self_.address);
-    answer.message.set_revision(status_.revision.value());
     answers.push_back(std::move(answer));
   }
   return answers;
 }
 
+PeerOrder Membership::OrderTo(const std::string& address) const {
+  PeerOrder order{address, {}};
+  order.message.set_sender(self_.name);
+  order.message.set_reply_to(self_.address);
+  order.message.set_revision(status_.revision.value());
+  return order;
+}
+
 std::vector<std::string> Membership::PushTargets(TimePoint now) {
   std::vector<std::string> targets;
   std::vector<const Record*> peers = Reachable(now);
@@ -287,13 +315,13 @@
   return targets;
 }
 
-std::vector<PeerOrder> Membership::Leave(TimePoint now, MemberStatus status) {
+std::vector<PeerOrder> Membership::Leave(Instant at, MemberStatus status) {
   ++heartbeat_;
   status.left = true;
   status_ = status;
   std::vector<PeerOrder> orders;
-  for (std::string& target : PushTargets(now)) {
-    orders.push_back({std::move(target), MakeMessage(now)});
+  for (std::string& target : PushTargets(at.now)) {
+    orders.push_back({std::move(target), MakeMessage(at)});
   }
   return orders;
 }
--- /dev/null
+++ b/tests/fakes/config_network.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fakes/faulty_table.h"
+#include "support/run.h"
+#include "sycamoreford/config/config_node.h"
+
+namespace sycamoreford::fakes {
+
+/// Daemons' configuration nodes over one table and a network that loses,
+/// doubles, delays and reorders messages, in simulated time.
+class ConfigNetwork {
+ public:
+  using Node = ConfigNode<FaultyTable>;
+
+  static constexpr std::chrono::milliseconds kStep{100};
+  static constexpr std::chrono::milliseconds kPoll{3'000};
+  static constexpr std::chrono::milliseconds kGrace{10'000};
+
+  struct Daemon {
+    std::unique_ptr<FaultyTable> table;
+    std::unique_ptr<Node> node;
+    bool is_paused = false;
+    int side = 0;
+    int life = 0;
+    TimePoint next_tick{};
+    TimePoint next_poll{};
+    Revision highest{};
+  };
+
+  ConfigNetwork(int count, std::uint64_t seed) : random_(seed) {
+    daemons_.resize(static_cast<std::size_t>(count));
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      Restart(i);
+    }
+  }
+
+  /// Starts a daemon anew, with nothing kept.
+  void Restart(std::size_t i) {
+    Daemon& daemon = daemons_[i];
+    ++daemon.life;
+    if (daemon.table == nullptr) {
+      daemon.table = std::make_unique<FaultyTable>(table_);
+    }
+    const auto heartbeat = static_cast<std::uint32_t>(now_ / kStep) + 1;
+    Membership membership(InfoOf(i), heartbeat, random_());
+    for (std::size_t j = 0; j < daemons_.size(); ++j) {
+      (void)membership.Introduce(InfoOf(j), Now().now);
+    }
+    daemon.node = std::make_unique<Node>(
+        *daemon.table, std::move(membership), kGrace,
+        NodeHooks{
+            [this] { return Now(); },
+            [this, i](std::vector<PeerOrder> orders) {
+              Send(i, std::move(orders));
+            },
+            [this](std::chrono::milliseconds time) { return Wait(time); }});
+    daemon.is_paused = false;
+    daemon.highest = {};
+    daemon.next_tick = Now().now;
+    daemon.next_poll = Now().now;
+  }
+
+  /// Lets time pass; `check` runs after every step.
+  void Advance(std::chrono::milliseconds time) {
+    for (const auto end = now_ + time; now_ < end;) {
+      now_ += kStep;
+      Deliver();
+      for (Daemon& daemon : daemons_) {
+        RunDue(daemon);
+      }
+      if (check) {
+        check();
+      }
+    }
+  }
+
+  /// Applies a change at a daemon; time passes meanwhile.
+  Result<v1::Change> Apply(std::size_t i,
+                           ChangeRequest request,
+                           ChangeOrigin origin) {
+    return support::Run(
+        daemons_[i].node->Apply(std::move(request), std::move(origin)));
+  }
+
+  [[nodiscard]] Instant Now() const {
+    return {TimePoint(std::chrono::hours(24) + now_),
+            WallTime(std::chrono::hours(24) + now_)};
+  }
+
+  std::vector<Daemon>& daemons() { return daemons_; }
+  FakeTable& table() { return table_; }
+
+  /// Of 100 messages so many are lost, and so many come twice.
+  int lost = 0;
+  int doubled = 0;
+  std::chrono::milliseconds longest_delay{0};
+  std::function<void()> check;
+
+ private:
+  struct Flight {
+    std::size_t from;
+    std::size_t to;
+    TimePoint due;
+    v1::PeerMessage message;
+  };
+
+  static MemberInfo InfoOf(std::size_t i) {
+    const std::string name = "entry-" + std::to_string(i);
+    return {.name = name, .address = std::to_string(i)};
+  }
+
+  boost::asio::awaitable<void> Wait(std::chrono::milliseconds time) {
+    Advance(std::max(time, kStep));
+    co_return;
+  }
+
+  void Send(std::size_t from, std::vector<PeerOrder> orders) {
+    for (PeerOrder& order : orders) {
+      const std::size_t to = std::stoul(order.address);
+      const bool is_lost = static_cast<int>(random_() % 100) < lost;
+      if (is_lost || daemons_[from].side != daemons_[to].side) {
+        continue;
+      }
+      const int copies = static_cast<int>(random_() % 100) < doubled ? 2 : 1;
+      for (int copy = 0; copy < copies; ++copy) {
+        const auto delay = static_cast<std::int64_t>(
+            random_() % static_cast<std::uint64_t>(longest_delay.count() + 1));
+        flights_.push_back({from, to,
+                            Now().now + std::chrono::milliseconds(delay),
+                            order.message});
+      }
+    }
+  }
+
+  void Deliver() {
+    std::vector<Flight> due;
+    std::vector<Flight> later;
+    for (Flight& flight : flights_) {
+      const bool is_due =
+          flight.due <= Now().now && !daemons_[flight.to].is_paused;
+      (is_due ? due : later).push_back(std::move(flight));
+    }
+    flights_ = std::move(later);
+    std::shuffle(due.begin(), due.end(), random_);
+    for (const Flight& flight : due) {
+      if (daemons_[flight.from].side == daemons_[flight.to].side) {
+        (void)daemons_[flight.to].node->Receive(flight.message);
+      }
+    }
+  }
+
+  void RunDue(Daemon& daemon) {
+    if (daemon.is_paused) {
+      return;
+    }
+    if (Now().now >= daemon.next_tick) {
+      daemon.next_tick = Now().now + std::chrono::milliseconds(500);
+      daemon.node->Tick(false);
+    }
+    if (Now().now >= daemon.next_poll) {
+      daemon.next_poll = Now().now + kPoll;
+      (void)support::Run(daemon.node->Poll());
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::chrono::milliseconds now_{0};
+  FakeTable table_;
+  std::vector<Daemon> daemons_;
+  std::vector<Flight> flights_;
+};
+
+}  // namespace sycamoreford::fakes
