Gossip over nng, permit requests by the serving gate, and list daemons

Gossip goes to eight partners by turns over kept connections, so that a message costs no new connection.

--- a/include/sycamoreford/adapters/config_service.h
+++ b/include/sycamoreford/adapters/config_service.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -8,28 +10,49 @@
 
 #include "sycamoreford/adapters/config_holder.h"
 #include "sycamoreford/adapters/http_table_client.h"
-#include "sycamoreford/config/config_editor.h"
-#include "sycamoreford/config/config_follower.h"
+#include "sycamoreford/adapters/peer_channel.h"
+#include "sycamoreford/adapters/serve_permit.h"
+#include "sycamoreford/config/config_node.h"
+#include "sycamoreford/settings/settings.h"
 
 namespace sycamoreford {
 
-/// Keeps a daemon's configuration up to date with the table and writes
-/// operators' changes. Runs on a strand of its own.
+/// Keeps a daemon's configuration up to date with the table and its peers,
+/// writes operators' changes, and keeps the view of the daemons. Runs on a
+/// strand of its own.
 ///
 /// Thread safety: all methods may be called from any thread.
 class ConfigService {
  public:
+  /// Binds the peers' address.
+  ///
   /// Precondition: the arguments outlive this object.
+  /// \throws std::system_error when the address can not be bound.
   ConfigService(boost::asio::io_context& context,
+                const Settings& settings,
                 HttpTableClient& table,
                 ConfigHolder& holder,
-                std::chrono::milliseconds poll_interval);
+                ServePermit& permit,
+                const std::atomic<bool>& draining);
 
-  /// Starts to poll the table.
+  /// Starts to poll the table and to gossip.
   void Start();
 
+  /// Tells the peers and the table of a planned exit; call on a drain, once.
+  boost::asio::awaitable<void> Leave();
+
+  /// Where the peers' messages are taken.
+  [[nodiscard]] const std::string& peer_address() const noexcept {
+    return channel_.address();
+  }
+
+  /// Number of live daemons by the membership view, this one included.
+  [[nodiscard]] std::size_t live_daemons() const noexcept {
+    return live_daemons_;
+  }
+
   /// Applies an operator's change; blocks the calling thread. Errors as for
-  /// `ConfigEditor::Apply`.
+  /// `ConfigNode::Apply`.
   [[nodiscard]] Result<v1::Change> Apply(const ChangeRequest& request,
                                          const ChangeOrigin& origin);
 
@@ -38,24 +61,44 @@
   [[nodiscard]] Result<std::vector<v1::Change>> History(Revision before,
                                                         std::uint32_t limit);
 
+  /// The other daemons by the membership view; blocks the calling thread.
+  [[nodiscard]] std::vector<MemberState> Members();
+
  private:
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+  using Node = ConfigNode<HttpTableClient>;
 
+  [[nodiscard]] Node MakeNode(const Settings& settings);
+  void Send(std::vector<PeerOrder> orders);
+  void Receive(const v1::PeerMessage& message);
+  void Publish(const char* source);
   boost::asio::awaitable<void> PollLoop();
   boost::asio::awaitable<void> PollOnce();
+  boost::asio::awaitable<void> GossipLoop();
+  boost::asio::awaitable<void> ListLoop();
+  boost::asio::awaitable<bool> WriteRow();
+  boost::asio::awaitable<bool> ReadRows();
+  boost::asio::awaitable<void> Tidy(const std::vector<TableRow>& rows);
   boost::asio::awaitable<Result<v1::Change>> ApplyOnStrand(
       ChangeRequest request,
       ChangeOrigin origin);
   boost::asio::awaitable<Result<std::vector<v1::Change>>> ReadHistory(
       Revision before,
       std::uint32_t limit);
+  boost::asio::awaitable<std::vector<MemberState>> ReadMembers();
 
   Strand strand_;
+  const Settings& settings_;
   HttpTableClient& table_;
   ConfigHolder& holder_;
-  std::chrono::milliseconds poll_interval_;
-  ConfigFollower follower_;
+  ServePermit& permit_;
+  const std::atomic<bool>& draining_;
+  PeerChannel channel_;
+  Node node_;
+  std::atomic<std::size_t> live_daemons_{1};
   bool table_was_up_ = true;
+  ServeReason last_reason_ = ServeReason::kConfirmed;
+  std::uint64_t malformed_ = 0;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -5,6 +5,7 @@
 #include "sycamoreford/adapters/config_holder.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
+#include "sycamoreford/adapters/serve_permit.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/settings/settings.h"
 
@@ -19,6 +20,8 @@
   EndpointTable endpoints;
   HttpTableClient table;
   HttpEngineClient engines;
+  /// Whether the configuration in force may be served on.
+  ServePermit permit;
   SteadyClock clock;
   /// Set once a planned stop has begun.
   std::atomic<bool> draining{false};
--- a/include/sycamoreford/membership/membership.h
+++ b/include/sycamoreford/membership/membership.h
@@ -118,6 +118,10 @@
   [[nodiscard]] Duration Silence() const;
   [[nodiscard]] bool IsAlive(const Record& record, TimePoint now) const;
   [[nodiscard]] std::vector<const Record*> Reachable(TimePoint now) const;
+  /// Renews the partners and picks one; null when nobody else is alive.
+  [[nodiscard]] const Record* PickPartner(TimePoint now);
+  /// A member that is silent, now and then, so that parted groups meet again.
+  [[nodiscard]] const Record* PickSilent(TimePoint now);
   void TakeStatement(MemberId id,
                      std::uint32_t heartbeat,
                      TimePoint made_at,
@@ -131,6 +135,8 @@
   std::uint32_t heartbeat_;
   MemberStatus status_;
   std::map<MemberId, Record> records_;
+  std::vector<MemberId> partners_;
+  std::size_t ticks_ = 0;
   std::size_t largest_known_ = 0;
   TimePoint known_at_{};
   std::mt19937_64 random_;
--- a/include/sycamoreford/membership/membership_options.h
+++ b/include/sycamoreford/membership/membership_options.h
@@ -24,6 +24,10 @@
   std::size_t introductions = 16;
   /// Most members that are kept.
   std::size_t members = 4'096;
+  /// Peers that a daemon sends its gossip to by turns, over kept connections.
+  std::size_t partners = 8;
+  /// Intervals until one partner is replaced by another.
+  std::size_t partner_intervals = 30;
   /// Peers that each daemon passes a new change on to.
   std::size_t push_fan_out = 3;
 };
--- a/include/sycamoreford/settings/settings.h
+++ b/include/sycamoreford/settings/settings.h
@@ -52,6 +52,10 @@
   } limits;
 
   std::vector<OperatorCredential> operators;
+
+  /// Peers' addresses to greet at start, beside those listed in the table; a
+  /// daemon that boots while the table is down learns the others from them.
+  std::vector<std::string> seeds;
 };
 
 /// A fault in a settings file: where and what.
--- a/src/adapters/caller_front.cc
+++ b/src/adapters/caller_front.cc
@@ -92,7 +92,7 @@
 }  // namespace
 
 bool CallerFront::IsReady() const {
-  return !state_.draining && state_.config.confirmed_at().has_value();
+  return !state_.draining && state_.permit.IsOpen(state_.clock.Now());
 }
 
 HttpResponse CallerFront::Readiness() const {
@@ -149,7 +149,7 @@
                                                  const std::string& id) {
   const HttpRequest& request = exchange.request();
   const std::string path = PathOf(request.target);
-  if (!state_.config.confirmed_at()) {
+  if (!state_.permit.IsOpen(state_.clock.Now())) {
     co_return Failure{.code = Errc::kConfigUnconfirmed,
                       .where = "config",
                       .retry_after = kRetryAfter};
--- a/src/adapters/config_service.cc
+++ b/src/adapters/config_service.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -15,17 +16,127 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr const char* kDaemonPrefix = "daemon/";
+constexpr std::chrono::milliseconds kGossipInterval{500};
+constexpr std::chrono::seconds kListInterval{120};
+constexpr std::chrono::seconds kListRetry{5};
+/// Heartbeats are counted from here, two to a second.
+constexpr std::chrono::seconds kHeartbeatEpoch{1'767'225'600};
+
+WallTime WallNow() {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+std::uint32_t FirstHeartbeat() {
+  return static_cast<std::uint32_t>(
+      (WallNow().time_since_epoch() - kHeartbeatEpoch) / kGossipInterval);
+}
+
+std::string RowKey(const std::string& name) {
+  return kDaemonPrefix + name;
+}
+
+v1::Member RowOf(const MemberInfo& info) {
+  v1::Member member;
+  member.set_name(info.name);
+  member.set_address(info.address);
+  member.set_data_center(info.data_center);
+  member.set_region(info.region);
+  member.set_incarnation(info.incarnation);
+  return member;
+}
+
+}  // namespace
+
 ConfigService::ConfigService(asio::io_context& context,
+                             const Settings& settings,
                              HttpTableClient& table,
                              ConfigHolder& holder,
-                             std::chrono::milliseconds poll_interval)
+                             ServePermit& permit,
+                             const std::atomic<bool>& draining)
     : strand_(asio::make_strand(context)),
+      settings_(settings),
       table_(table),
       holder_(holder),
-      poll_interval_(poll_interval) {}
+      permit_(permit),
+      draining_(draining),
+      channel_(settings.listen.peers),
+      node_(MakeNode(settings)) {}
+
+ConfigService::Node ConfigService::MakeNode(const Settings& settings) {
+  MemberInfo self{.name = settings.name,
+                  .address = channel_.address(),
+                  .data_center = settings.data_center,
+                  .region = settings.region,
+                  .incarnation = static_cast<std::uint64_t>(
+                      WallNow().time_since_epoch().count())};
+  NodeHooks hooks;
+  hooks.now = [] { return Instant{SteadyClock().Now(), WallNow()}; };
+  hooks.send = [this](std::vector<PeerOrder> orders) {
+    Send(std::move(orders));
+  };
+  hooks.wait = [this](std::chrono::milliseconds time) -> asio::awaitable<void> {
+    asio::steady_timer timer(strand_, time);
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  return {table_,
+          Membership(std::move(self), FirstHeartbeat(), std::random_device{}()),
+          settings.limits.isolation_grace, std::move(hooks)};
+}
 
 void ConfigService::Start() {
+  channel_.Start([this](v1::PeerMessage message) {
+    asio::post(strand_,
+               [this, message = std::move(message)] { Receive(message); });
+  });
   asio::co_spawn(strand_, PollLoop(), asio::detached);
+  asio::co_spawn(strand_, GossipLoop(), asio::detached);
+  asio::co_spawn(strand_, ListLoop(), asio::detached);
+}
+
+void ConfigService::Send(std::vector<PeerOrder> orders) {
+  const TimePoint now = SteadyClock().Now();
+  for (const PeerOrder& order : orders) {
+    auto sent = channel_.Send(order.address, order.message, now);
+    if (!sent) {
+      LogEvent(Severity::kDebug, "peer_message_dropped")
+          .With("peer", order.address)
+          .With("error", ToString(sent.error().code));
+    }
+  }
+}
+
+void ConfigService::Receive(const v1::PeerMessage& message) {
+  auto taken = node_.Receive(message);
+  if (!taken) {
+    LogEvent(Severity::kWarning, "peer_message_refused")
+        .With("where", taken.error().where);
+    return;
+  }
+  Publish("peer");
+}
+
+void ConfigService::Publish(const char* source) {
+  const Revision before = holder_.current()->revision();
+  holder_.Publish(node_.follower());
+  const Revision after = holder_.current()->revision();
+  if (after > before) {
+    LogEvent(Severity::kInfo, "config_in_force")
+        .With("revision", after.value())
+        .With("source", source);
+  }
+  const ServeDecision decision = node_.Serve();
+  permit_.Set(decision.until);
+  if (decision.reason != last_reason_) {
+    last_reason_ = decision.reason;
+    LogEvent(decision.until ? Severity::kInfo : Severity::kWarning,
+             decision.until ? "serving" : "not_serving")
+        .With("reason", ToString(decision.reason))
+        .With("revision", after.value());
+  }
 }
 
 asio::awaitable<void> ConfigService::PollLoop() {
@@ -36,44 +147,135 @@
   for (;;) {
     co_await PollOnce();
     timer.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
-        poll_interval_ * spread(random)));
+        settings_.table.poll_interval * spread(random)));
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
 asio::awaitable<void> ConfigService::PollOnce() {
-  const Revision before = holder_.current()->revision();
+  auto head = co_await node_.Poll();
+  if (node_.table_reachable() != table_was_up_) {
+    table_was_up_ = node_.table_reachable();
+    LogEvent(Severity::kWarning,
+             table_was_up_ ? "table_reachable" : "table_unreachable")
+        .With("revision", node_.follower().current()->revision().value());
+  }
+  if (!head && head.error().code == Errc::kMalformed) {
+    LogEvent(Severity::kError, "config_rows_invalid")
+        .With("where", head.error().where)
+        .With("revision", node_.follower().current()->revision().value());
+  }
+  Publish("table");
+}
+
+asio::awaitable<void> ConfigService::GossipLoop() {
+  asio::steady_timer timer(strand_);
+  for (const std::string& seed : settings_.seeds) {
+    std::vector<PeerOrder> greeting;
+    greeting.push_back(
+        node_.membership().Greeting(seed, {SteadyClock().Now(), WallNow()}));
+    Send(std::move(greeting));
+  }
   for (;;) {
-    const Revision at = follower_.current()->revision();
-    const TimePoint started = SteadyClock().Now();
-    auto rows = co_await table_.Read(follower_.NextRead());
-    if (rows.has_value() != table_was_up_) {
-      table_was_up_ = rows.has_value();
-      LogEvent(Severity::kWarning,
-               table_was_up_ ? "table_reachable" : "table_unreachable")
-          .With("revision", at.value());
+    node_.Tick(draining_);
+    live_daemons_ = node_.membership().LiveCount(SteadyClock().Now());
+    if (channel_.malformed() != malformed_) {
+      malformed_ = channel_.malformed();
+      LogEvent(Severity::kWarning, "peer_messages_malformed")
+          .With("total", malformed_);
     }
-    if (!rows) {
-      break;
+    Publish("peer");
+    timer.expires_after(kGossipInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> ConfigService::ListLoop() {
+  asio::steady_timer timer(strand_);
+  bool is_written = false;
+  for (;;) {
+    if (!is_written) {
+      is_written = co_await WriteRow();
+    }
+    const bool is_read = co_await ReadRows();
+    timer.expires_after(is_written && is_read ? kListInterval : kListRetry);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<bool> ConfigService::WriteRow() {
+  TableTransaction transaction;
+  const MemberInfo& self = node_.membership().self();
+  transaction.writes.push_back({RowKey(self.name), ToTableJson(RowOf(self))});
+  // A repeated write is harmless, so a lost answer is tried again.
+  auto written = co_await table_.Commit(transaction);
+  co_return written.has_value();
+}
+
+asio::awaitable<bool> ConfigService::ReadRows() {
+  TableRead read;
+  read.prefixes = {kDaemonPrefix};
+  auto rows = co_await table_.Read(read);
+  if (!rows) {
+    co_return false;
+  }
+  const TimePoint now = SteadyClock().Now();
+  for (const TableRow& row : *rows) {
+    v1::Member member;
+    if (!FromTableJson(row.value, member)) {
+      continue;
     }
-    auto head = follower_.OfferRows(*rows, started);
-    if (!head) {
-      LogEvent(Severity::kError, "config_rows_invalid")
-          .With("revision", follower_.current()->revision().value());
-      break;
+    auto introduced =
+        node_.membership().Introduce({.name = member.name(),
+                                      .address = member.address(),
+                                      .data_center = member.data_center(),
+                                      .region = member.region(),
+                                      .incarnation = member.incarnation()},
+                                     now);
+    if (!introduced) {
+      LogEvent(Severity::kWarning, "member_refused")
+          .With("name", member.name())
+          .With("error", ToString(introduced.error().code));
     }
-    const Revision now = follower_.current()->revision();
-    if (*head <= now || now == at) {
-      break;
+  }
+  co_await Tidy(*rows);
+  co_return true;
+}
+
+asio::awaitable<void> ConfigService::Tidy(const std::vector<TableRow>& rows) {
+  const TimePoint now = SteadyClock().Now();
+  const std::vector<std::string> gone = node_.membership().Forget(now);
+  if (!node_.membership().IsFirst(now)) {
+    co_return;
+  }
+  for (const std::string& name : gone) {
+    for (const TableRow& row : rows) {
+      if (row.key == RowKey(name)) {
+        TableTransaction removal;
+        removal.conditions.push_back({row.key, row.version});
+        removal.writes.push_back({row.key, std::nullopt});
+        (void)co_await table_.Commit(removal);
+      }
     }
   }
-  holder_.Publish(follower_);
-  const Revision after = holder_.current()->revision();
-  if (after > before) {
-    LogEvent(Severity::kInfo, "config_in_force")
-        .With("revision", after.value())
-        .With("source", "table");
+}
+
+asio::awaitable<void> ConfigService::Leave() {
+  co_await asio::post(strand_, asio::use_awaitable);
+  node_.Leave();
+  TableRead read;
+  const MemberInfo& self = node_.membership().self();
+  read.keys.push_back(RowKey(self.name));
+  auto rows = co_await table_.Read(read);
+  v1::Member member;
+  if (!rows || rows->empty() || !FromTableJson(rows->front().value, member) ||
+      member.incarnation() != self.incarnation) {
+    co_return;
   }
+  TableTransaction removal;
+  removal.conditions.push_back({rows->front().key, rows->front().version});
+  removal.writes.push_back({rows->front().key, std::nullopt});
+  (void)co_await table_.Commit(removal);
 }
 
 Result<v1::Change> ConfigService::Apply(const ChangeRequest& request,
@@ -86,10 +288,8 @@
 asio::awaitable<Result<v1::Change>> ConfigService::ApplyOnStrand(
     ChangeRequest request,
     ChangeOrigin origin) {
-  ConfigEditor<HttpTableClient> editor(table_);
-  auto change =
-      co_await editor.Apply(follower_, request, origin, SteadyClock().Now());
-  holder_.Publish(follower_);
+  auto change = co_await node_.Apply(std::move(request), std::move(origin));
+  Publish("operator");
   co_return change;
 }
 
@@ -102,14 +302,17 @@
 asio::awaitable<Result<std::vector<v1::Change>>> ConfigService::ReadHistory(
     Revision before,
     std::uint32_t limit) {
-  const std::uint64_t end = before == Revision()
-                                ? follower_.current()->revision().value() + 1
-                                : before.value();
+  const std::uint64_t newest = node_.follower().current()->revision().value();
+  const std::uint64_t end =
+      before == Revision() ? newest + 1 : std::min(before.value(), newest + 1);
   TableRead read;
   for (std::uint64_t revision = end;
        revision > 1 && read.keys.size() < limit;) {
     read.keys.push_back(ConfigChangeKey(Revision(--revision)));
   }
+  if (read.keys.empty()) {
+    co_return std::vector<v1::Change>();
+  }
   auto rows = co_await table_.Read(read);
   if (!rows) {
     co_return rows.error();
@@ -122,7 +325,19 @@
     }
     changes.push_back(std::move(change));
   }
+  std::sort(changes.begin(), changes.end(),
+            [](const v1::Change& a, const v1::Change& b) {
+              return a.revision() > b.revision();
+            });
   co_return changes;
 }
 
+std::vector<MemberState> ConfigService::Members() {
+  return asio::co_spawn(strand_, ReadMembers(), asio::use_future).get();
+}
+
+asio::awaitable<std::vector<MemberState>> ConfigService::ReadMembers() {
+  co_return node_.membership().Others(SteadyClock().Now());
+}
+
 }  // namespace sycamoreford
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -39,9 +39,11 @@
   explicit State(Settings settings)
       : entry(std::move(settings)),
         config(context,
+               entry.settings,
                entry.table,
                entry.config,
-               entry.settings.table.poll_interval),
+               entry.permit,
+               entry.draining),
         front(entry),
         callers(
             context,
@@ -78,6 +80,7 @@
     co_await timer.async_wait(asio::use_awaitable);
   }
   finished_all = callers.active() == 0;
+  co_await config.Leave();
   LogEvent(finished_all ? Severity::kInfo : Severity::kError, "drain_ended")
       .With("cut_off", callers.active());
   operators.Close();
@@ -106,7 +109,8 @@
   LogEvent(Severity::kInfo, "listening")
       .With("name", state_->entry.settings.name)
       .With("callers", state_->callers.address())
-      .With("operators", state_->operators.address());
+      .With("operators", state_->operators.address())
+      .With("peers", state_->config.peer_address());
   std::vector<std::jthread> workers;
   for (std::uint32_t i = 1; i < state_->entry.settings.limits.workers; ++i) {
     workers.emplace_back([this] { state_->context.run(); });
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -191,7 +191,7 @@
     const EndpointTable::View loads = state_.endpoints.Snapshot(now);
     reply->set_revision(config->revision().value());
     reply->set_daemon(state_.settings.name);
-    reply->set_config_confirmed(state_.config.confirmed_at().has_value());
+    reply->set_config_confirmed(state_.permit.IsOpen(now));
     if (const auto confirmed = state_.config.confirmed_at()) {
       reply->set_config_age_ms(
           std::chrono::duration_cast<std::chrono::milliseconds>(now -
@@ -215,14 +215,40 @@
     self->set_name(state_.settings.name);
     self->set_data_center(state_.settings.data_center);
     self->set_region(state_.settings.region);
-    self->set_peer_address(state_.settings.listen.peers);
+    self->set_peer_address(config_.peer_address());
     self->set_revision(config->revision().value());
     self->set_draining(state_.draining);
     self->set_alive(true);
+    AddMembers(now, *reply);
     return grpc::Status::OK;
   }
 
  private:
+  /// Lists the other daemons by the membership view.
+  void AddMembers(TimePoint now, v1::StateReply& reply) {
+    for (const MemberState& member : config_.Members()) {
+      v1::DaemonState* out = reply.add_daemons();
+      out->set_name(member.info.name);
+      out->set_data_center(member.info.data_center);
+      out->set_region(member.info.region);
+      out->set_peer_address(member.info.address);
+      out->set_revision(member.status.revision.value());
+      out->set_draining(member.status.draining);
+      out->set_alive(member.is_alive);
+      if (member.made_at) {
+        out->set_age_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - *member.made_at)
+                            .count());
+      }
+    }
+    for (const v1::DaemonState& daemon : reply.daemons()) {
+      reply.set_daemons_alive(reply.daemons_alive() + (daemon.alive() ? 1 : 0));
+      const bool has_it = daemon.revision() >= reply.revision();
+      reply.set_daemons_in_force(reply.daemons_in_force() +
+                                 (daemon.alive() && has_it ? 1 : 0));
+    }
+  }
+
   /// The operator's name, recognized by the bearer token.
   Result<std::string> Author(const grpc::ServerContext& context) const {
     constexpr std::string_view kBearer = "Bearer ";
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -170,26 +170,61 @@
   return count;
 }
 
+const Membership::Record* Membership::PickSilent(TimePoint now) {
+  constexpr std::size_t kProbeIntervals = 8;
+  std::vector<const Record*> silent;
+  for (const auto& [id, record] : records_) {
+    if (!record.status.left && !IsAlive(record, now)) {
+      silent.push_back(&record);
+    }
+  }
+  const bool is_alone = silent.size() == records_.size();
+  if (silent.empty() || (!is_alone && ticks_ % kProbeIntervals != 0)) {
+    return nullptr;
+  }
+  return silent[random_() % silent.size()];
+}
+
+const Membership::Record* Membership::PickPartner(TimePoint now) {
+  std::erase_if(partners_, [&](MemberId id) {
+    const auto found = records_.find(id);
+    return found == records_.end() || !IsAlive(found->second, now);
+  });
+  if (!partners_.empty() && ticks_ % options_.partner_intervals == 0) {
+    partners_.erase(partners_.begin());
+  }
+  if (partners_.size() < options_.partners) {
+    std::vector<MemberId> others;
+    for (const auto& [id, record] : records_) {
+      if (IsAlive(record, now) && std::find(partners_.begin(), partners_.end(),
+                                            id) == partners_.end()) {
+        others.push_back(id);
+      }
+    }
+    std::shuffle(others.begin(), others.end(), random_);
+    others.resize(
+        std::min(others.size(), options_.partners - partners_.size()));
+    partners_.insert(partners_.end(), others.begin(), others.end());
+  }
+  if (partners_.empty()) {
+    return nullptr;
+  }
+  return &records_.at(partners_[random_() % partners_.size()]);
+}
+
 std::optional<PeerOrder> Membership::Tick(Instant at,
                                           const MemberStatus& status) {
   ++heartbeat_;
   status_ = status;
-  std::vector<const Record*> peers = Reachable(at.now);
-  // Now and then one that is not heard of, so that parted groups meet again.
-  constexpr std::uint64_t kProbe = 8;
-  if (peers.empty() || random_() % kProbe == 0) {
-    peers.clear();
-    for (const auto& [id, record] : records_) {
-      if (!record.status.left) {
-        peers.push_back(&record);
-      }
-    }
+  ++ticks_;
+  const Record* peer = PickSilent(at.now);
+  if (peer == nullptr) {
+    peer = PickPartner(at.now);
   }
-  if (peers.empty()) {
+  if (peer == nullptr) {
     return std::nullopt;
   }
-  const Record& peer = *peers[random_() % peers.size()];
-  return PeerOrder{peer.info.address, MakeMessage(at)};
+  return PeerOrder{peer->info.address, MakeMessage(at)};
 }
 
 PeerOrder Membership::Greeting(const std::string& address, Instant at) {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -178,12 +178,34 @@
   }
 }
 
+void ReadSeeds(const json::value& value,
+               std::vector<SettingsFault>& faults,
+               std::vector<std::string>& seeds) {
+  if (!value.is_array()) {
+    faults.push_back({"seeds", Errc::kMalformed, "a list"});
+    return;
+  }
+  for (std::size_t i = 0; i < value.as_array().size(); ++i) {
+    const json::value& item = value.as_array()[i];
+    try {
+      seeds.push_back(json::value_to<std::string>(item));
+      (void)impl::ParseAddress(seeds.back());
+    } catch (const std::exception&) {
+      faults.push_back({"seeds[" + std::to_string(i) + "]", Errc::kMalformed,
+                        "an IP address and port"});
+    }
+  }
+}
+
 void ReadRoot(const json::value& root, ParsedSettings& parsed) {
   ObjectReader reader(root, "", parsed.faults);
   Settings& settings = parsed.settings;
   reader.String("name", settings.name);
   reader.String("data_center", settings.data_center);
   reader.String("region", settings.region);
+  if (const json::value* seeds = reader.Find("seeds", false)) {
+    ReadSeeds(*seeds, parsed.faults, settings.seeds);
+  }
   if (const json::value* listen = reader.Find("listen", true)) {
     ReadListen({*listen, "listen", parsed.faults}, settings.listen);
   }
--- a/tests/config_property_test.cc
+++ b/tests/config_property_test.cc
@@ -114,6 +114,9 @@
   kTableFault,
   kTableDown,
   kTableUp,
+  kTableOnlyHere,
+  kLoseChanges,
+  kDeaf,
   kPlanFault,
   kReleaseLate,
   kPart,
@@ -150,6 +153,15 @@
                                                    : TableFault::kNone);
         }
         return;
+      case Op::kTableOnlyHere:
+        Do(Op::kTableDown, 0);
+        return daemon.table->SetMode(TableFault::kNone);
+      case Op::kLoseChanges:
+        network_.loses_changes = true;
+        return;
+      case Op::kDeaf:
+        daemon.is_deaf = true;
+        return;
       case Op::kPlanFault:
         return daemon.table->Plan(daemon.table->calls() + (n / 7) % 5,
                                   FaultOf(n));
@@ -160,6 +172,7 @@
         return;
       case Op::kJoin:
         daemon.side = 0;
+        daemon.is_deaf = false;
         return;
       case Op::kPause:
         daemon.is_paused = true;
@@ -170,12 +183,13 @@
       case Op::kRestart:
         return network_.Restart(n % size());
       case Op::kNoise:
-        network_.lost = static_cast<int>(n % 50);
+        network_.lost = static_cast<int>(n % 95);
         network_.doubled = static_cast<int>(n % 40);
         network_.longest_delay = std::chrono::milliseconds(n % 8'000);
         return;
       case Op::kQuiet:
         network_.lost = 0;
+        network_.loses_changes = false;
         network_.doubled = 0;
         network_.longest_delay = std::chrono::milliseconds(0);
         return;
@@ -190,7 +204,7 @@
     Do(Op::kTableUp, 0);
     for (std::size_t i = 0; i < size(); ++i) {
       network_.daemons()[i].is_paused = false;
-      network_.daemons()[i].side = 0;
+      Do(Op::kJoin, static_cast<std::uint32_t>(i));
       network_.daemons()[i].table->ReleaseLate();
     }
     network_.Advance(kBound);
@@ -293,6 +307,53 @@
     }
   }
 
+  SECTION("a change that only its writer still knows of stops the others") {
+    Story story(5, 1);
+    story.Do(Op::kApply, 0);
+    story.network().Advance(std::chrono::seconds(25));
+    story.Do(Op::kTableOnlyHere, 0);
+    story.network().Advance(std::chrono::seconds(10));
+    story.Do(Op::kPart, 3);
+    story.Do(Op::kPart, 4);
+    story.Do(Op::kLoseChanges, 0);
+    story.Do(Op::kApply, 0);
+    REQUIRE(
+        story.network().daemons()[0].node->follower().current()->revision() ==
+        Revision(2));
+    story.Do(Op::kPart, 0);
+    story.network().daemons()[0].side = 2;
+    story.Do(Op::kJoin, 3);
+    story.Do(Op::kJoin, 4);
+    SECTION("while those who acknowledged it live") {
+      story.network().Advance(std::chrono::seconds(40));
+    }
+    SECTION("and also when they start anew") {
+      story.Do(Op::kRestart, 1);
+      story.Do(Op::kRestart, 2);
+      story.network().Advance(std::chrono::seconds(40));
+    }
+    REQUIRE_FALSE(story.network().daemons()[3].node->Serve().until.has_value());
+  }
+
+  SECTION("a daemon that wakes does not take old messages for fresh ones") {
+    Story story(5, 1);
+    story.Do(Op::kApply, 0);
+    story.network().Advance(std::chrono::seconds(25));
+    story.Do(Op::kTableDown, 0);
+    story.network().Advance(std::chrono::seconds(15));
+    story.Do(Op::kPause, 4);
+    story.network().Advance(std::chrono::seconds(9));
+    story.Do(Op::kDeaf, 4);
+    story.Do(Op::kTableOnlyHere, 0);
+    story.network().Advance(std::chrono::seconds(4));
+    story.Do(Op::kApply, 0);
+    story.network().Advance(std::chrono::seconds(15));
+    story.Do(Op::kResume, 4);
+    story.network().Advance(std::chrono::seconds(5));
+    REQUIRE(story.network().daemons()[4].node->Serve().reason ==
+            ServeReason::kUnconfirmed);
+  }
+
   SECTION("an operator without a majority of the daemons is refused") {
     Story story(3, 1);
     story.network().Advance(std::chrono::seconds(5));
--- a/tests/fakes/config_network.h
+++ b/tests/fakes/config_network.h
@@ -25,6 +25,8 @@
     std::unique_ptr<FaultyTable> table;
     std::unique_ptr<Node> node;
     bool is_paused = false;
+    /// Messages sent to it from now on are lost.
+    bool is_deaf = false;
     int side = 0;
     int life = 0;
     TimePoint next_tick{};
@@ -98,6 +100,8 @@
   /// Of 100 messages so many are lost, and so many come twice.
   int lost = 0;
   int doubled = 0;
+  /// Whether messages that carry changes or snapshots are lost.
+  bool loses_changes = false;
   std::chrono::milliseconds longest_delay{0};
   std::function<void()> check;
 
@@ -123,7 +127,10 @@
     for (PeerOrder& order : orders) {
       const std::size_t to = std::stoul(order.address);
       const bool is_lost = static_cast<int>(random_() % 100) < lost;
-      if (is_lost || daemons_[from].side != daemons_[to].side) {
+      const bool has_config =
+          order.message.changes_size() > 0 || order.message.has_snapshot();
+      if (is_lost || daemons_[from].side != daemons_[to].side ||
+          daemons_[to].is_deaf || (has_config && loses_changes)) {
         continue;
       }
       const int copies = static_cast<int>(random_() % 100) < doubled ? 2 : 1;
--- /dev/null
+++ b/tests/fakes/gossip_network.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sycamoreford/membership/membership.h"
+
+namespace sycamoreford::fakes {
+
+/// Many daemons' views of one another in one thread and simulated time; counts
+/// the bytes that they send.
+class GossipNetwork {
+ public:
+  /// All daemons run and are listed to one another.
+  GossipNetwork(std::size_t count, std::uint64_t seed)
+      : random_(seed), daemons_(count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      Start(i);
+    }
+  }
+
+  void Start(std::size_t i) { StartAt(i, Heartbeat()); }
+
+  /// Starts with a heartbeat of its own.
+  void StartAt(std::size_t i, std::uint32_t heartbeat) {
+    if (daemons_[i].view) {
+      return;
+    }
+    daemons_[i].view.emplace(InfoOf(i), heartbeat, random_());
+    daemons_[i].next_tick =
+        Now().now + std::chrono::milliseconds(random_() % 500);
+    daemons_[i].is_paused = false;
+    for (std::size_t j = 0; j < size(); ++j) {
+      (void)daemons_[i].view->Introduce(InfoOf(j), Now().now);
+    }
+  }
+
+  /// Starts knowing only the address of `seed`.
+  void StartUnlisted(std::size_t i, std::size_t seed) {
+    daemons_[i].view.emplace(InfoOf(i), Heartbeat(), random_());
+    daemons_[i].next_tick = Now().now;
+    Send(i, daemons_[i].view->Greeting(std::to_string(seed), Now()));
+  }
+
+  void Crash(std::size_t i) { daemons_[i].view.reset(); }
+
+  void Leave(std::size_t i) {
+    if (!IsRunning(i)) {
+      return;
+    }
+    for (const PeerOrder& order : daemons_[i].view->Leave(Now(), {})) {
+      Send(i, order);
+    }
+    Crash(i);
+  }
+
+  void SetPaused(std::size_t i, bool paused) { daemons_[i].is_paused = paused; }
+  void SetSide(std::size_t i, int side) { daemons_[i].side = side; }
+
+  void Advance(std::chrono::milliseconds time) {
+    constexpr std::chrono::milliseconds kStep{50};
+    for (const auto end = now_ + time; now_ < end;) {
+      now_ += kStep;
+      Deliver();
+      for (std::size_t i = 0; i < size(); ++i) {
+        Tick(i);
+      }
+    }
+  }
+
+  [[nodiscard]] Instant Now() const {
+    return {TimePoint(std::chrono::hours(24) + now_),
+            WallTime(std::chrono::hours(24) + now_)};
+  }
+  [[nodiscard]] bool IsRunning(std::size_t i) const {
+    return daemons_[i].view.has_value() && !daemons_[i].is_paused;
+  }
+  [[nodiscard]] std::size_t LiveDaemons() const {
+    std::size_t live = 0;
+    for (std::size_t i = 0; i < size(); ++i) {
+      live += IsRunning(i) ? 1 : 0;
+    }
+    return live;
+  }
+  [[nodiscard]] std::size_t size() const { return daemons_.size(); }
+  Membership& view(std::size_t i) { return *daemons_[i].view; }
+  [[nodiscard]] std::size_t bytes() const { return bytes_; }
+  [[nodiscard]] std::size_t messages() const { return messages_; }
+
+  /// Of 100 messages so many are lost.
+  int lost = 0;
+  /// What every daemon states of itself.
+  MemberStatus status{};
+
+ private:
+  struct Daemon {
+    std::optional<Membership> view;
+    bool is_paused = false;
+    int side = 0;
+    TimePoint next_tick{};
+  };
+  struct Flight {
+    std::size_t from;
+    std::size_t to;
+    v1::PeerMessage message;
+  };
+
+  static MemberInfo InfoOf(std::size_t i) {
+    return {.name = "entry-" + std::to_string(i),
+            .address = std::to_string(i),
+            .data_center = "oyo",
+            .region = "sw-ng"};
+  }
+
+  [[nodiscard]] std::uint32_t Heartbeat() const {
+    return static_cast<std::uint32_t>(now_ / std::chrono::milliseconds(500)) +
+           1'000;
+  }
+
+  void Tick(std::size_t i) {
+    Daemon& daemon = daemons_[i];
+    if (!IsRunning(i) || Now().now < daemon.next_tick) {
+      return;
+    }
+    daemon.next_tick += std::chrono::milliseconds(500);
+    daemon.next_tick = std::max(daemon.next_tick, Now().now);
+    if (const auto order = daemon.view->Tick(Now(), status)) {
+      Send(i, *order);
+    }
+  }
+
+  void Send(std::size_t from, const PeerOrder& order) {
+    ++messages_;
+    bytes_ += order.message.ByteSizeLong();
+    const std::size_t to = std::stoul(order.address);
+    if (static_cast<int>(random_() % 100) >= lost) {
+      flights_.push_back({from, to, order.message});
+    }
+  }
+
+  void Deliver() {
+    std::vector<Flight> flights = std::move(flights_);
+    flights_.clear();
+    for (const Flight& flight : flights) {
+      Daemon& to = daemons_[flight.to];
+      if (!IsRunning(flight.to) || daemons_[flight.from].side != to.side) {
+        continue;
+      }
+      auto answers = to.view->Receive(flight.message, Now());
+      for (const PeerOrder& answer : answers.value()) {
+        Send(flight.to, answer);
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::chrono::milliseconds now_{0};
+  std::vector<Daemon> daemons_;
+  std::vector<Flight> flights_;
+  std::size_t bytes_ = 0;
+  std::size_t messages_ = 0;
+};
+
+}  // namespace sycamoreford::fakes
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,166 @@
+// Who is there: gossip converges, the dead leave the view, the living come
+// back.
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "fakes/gossip_network.h"
+
+namespace sycamoreford {
+namespace {
+
+using fakes::GossipNetwork;
+
+constexpr std::chrono::seconds kSettle{30};
+
+/// Whether all live connected daemons see exactly one another as alive.
+void CheckConverged(GossipNetwork& network) {
+  const std::size_t live = network.LiveDaemons();
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    if (network.IsRunning(i)) {
+      RC_ASSERT(network.view(i).LiveCount(network.Now().now) == live);
+    }
+  }
+}
+
+enum class Op {
+  kCrash,
+  kStart,
+  kPause,
+  kResume,
+  kPart,
+  kJoin,
+  kLeave,
+  kLoss,
+  kTime,
+  kEnd
+};
+
+void Do(GossipNetwork& network, Op op, std::uint32_t n) {
+  const std::size_t i = n % network.size();
+  switch (op) {
+    case Op::kCrash:
+      return network.Crash(i);
+    case Op::kStart:
+      return network.Start(i);
+    case Op::kPause:
+      return network.SetPaused(i, true);
+    case Op::kResume:
+      return network.SetPaused(i, false);
+    case Op::kPart:
+      return network.SetSide(i, 1);
+    case Op::kJoin:
+      return network.SetSide(i, 0);
+    case Op::kLeave:
+      return network.Leave(i);
+    case Op::kLoss:
+      network.lost = static_cast<int>(n % 60);
+      return;
+    case Op::kTime:
+      return network.Advance(std::chrono::milliseconds(n % 20'000));
+    case Op::kEnd:
+      return;
+  }
+}
+
+TEST_CASE("Members that are there see one another") {
+  SECTION("after any story of crashes, pauses, partitions and loss") {
+    REQUIRE(rc::check([] {
+      GossipNetwork network(static_cast<std::size_t>(*rc::gen::inRange(2, 13)),
+                            *rc::gen::arbitrary<std::uint64_t>());
+      const auto steps =
+          *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+              rc::gen::pair(rc::gen::inRange(0, static_cast<int>(Op::kEnd)),
+                            rc::gen::inRange<std::uint32_t>(0, 100'000)));
+      for (const auto& [op, n] : steps) {
+        Do(network, static_cast<Op>(op), n);
+      }
+      network.lost = 0;
+      for (std::size_t i = 0; i < network.size(); ++i) {
+        network.SetPaused(i, false);
+        network.SetSide(i, 0);
+      }
+      network.Advance(kSettle);
+      CheckConverged(network);
+      network.Advance(kSettle);
+      CheckConverged(network);
+    }));
+  }
+
+  SECTION("a planned exit is seen long before a crash would be") {
+    GossipNetwork network(9, 3);
+    network.Advance(kSettle);
+    network.Leave(4);
+    network.Advance(std::chrono::seconds(5));
+    REQUIRE(network.view(0).LiveCount(network.Now().now) == 8);
+    REQUIRE(network.view(0).Others(network.Now().now).size() == 7);
+    SECTION("and a restart under the same name is a member again") {
+      network.Start(4);
+      network.Advance(std::chrono::seconds(10));
+      REQUIRE(network.view(0).LiveCount(network.Now().now) == 9);
+    }
+  }
+
+  SECTION("a daemon whose wall clock went back at its restart is heard again") {
+    GossipNetwork network(3, 3);
+    network.Advance(kSettle);
+    network.Crash(1);
+    network.Advance(kSettle);
+    network.StartAt(1, 1);
+    network.Advance(kSettle);
+    REQUIRE(network.view(0).LiveCount(network.Now().now) == 3);
+  }
+
+  SECTION("a daemon that knows one address alone comes to know all") {
+    GossipNetwork network(9, 3);
+    network.Advance(kSettle);
+    network.Crash(8);
+    network.StartUnlisted(8, 0);
+    network.Advance(std::chrono::seconds(20));
+    REQUIRE(network.view(8).LiveCount(network.Now().now) == 9);
+  }
+}
+
+TEST_CASE("A message that breaks the rules is refused whole") {
+  Membership view({.name = "entry-1", .address = "1"}, 1, 1);
+  const Instant at{TimePoint(std::chrono::hours(1)),
+                   WallTime(std::chrono::hours(1))};
+  v1::PeerMessage message;
+  message.set_sender("entry-2");
+  message.set_reply_to("2");
+  message.set_sent_unix_ms(at.wall.time_since_epoch().count());
+  *message.add_members() = [] {
+    v1::Member member;
+    member.set_name("entry-2");
+    member.set_address("2");
+    return member;
+  }();
+  SECTION("columns of unequal length") {
+    message.mutable_gossip()->add_ids(1);
+    REQUIRE(view.Receive(message, at).error().code == Errc::kMalformed);
+    REQUIRE(view.known() == 1);
+  }
+  SECTION("no sender") {
+    message.clear_sender();
+    REQUIRE(view.Receive(message, at).error().code == Errc::kMalformed);
+  }
+  SECTION("more introductions than allowed") {
+    for (int i = 0; i < 100; ++i) {
+      *message.add_members() = message.members(0);
+    }
+    REQUIRE(view.Receive(message, at).error().code == Errc::kMalformed);
+  }
+  SECTION("gossip of a sender whose clock is ahead is not believed") {
+    message.set_sent_unix_ms(message.sent_unix_ms() + 5'000);
+    v1::Gossip& gossip = *message.mutable_gossip();
+    gossip.add_ids(MemberIdOf("entry-2").value());
+    gossip.add_heartbeats(5);
+    gossip.add_ages(0);
+    gossip.add_revision_lags(0);
+    gossip.add_flags(0);
+    REQUIRE(view.Receive(message, at).has_value());
+    REQUIRE(view.LiveCount(at.now) == 1);
+  }
+}
+
+}  // namespace
+}  // namespace sycamoreford
--- a/tests/support/stand.cc
+++ b/tests/support/stand.cc
@@ -135,8 +135,12 @@
 std::size_t Stand::StartDaemon() {
   const std::string name = "entry-" + std::to_string(daemons_.size() + 1);
   const std::string path = folder_ + "/" + name + ".json";
-  std::ofstream(path) << R"({"name":")" << name
-                      << R"(","data_center":"oyo","region":"sw-ng",
+  std::string seeds;
+  for (const std::string& peer : peers_) {
+    seeds += (seeds.empty() ? "\"" : ",\"") + peer + "\"";
+  }
+  std::ofstream(path) << R"({"name":")" << name << R"(","seeds":[)" << seeds
+                      << R"(],"data_center":"oyo","region":"sw-ng",
 "listen":{"callers":"127.0.0.1:0","operators":"127.0.0.1:0","peers":"127.0.0.1:0"},
 "table":{"address":")" << table_address_
                       << "\"," << options_.table << "},\n\"limits\":{"
@@ -148,6 +152,7 @@
                         std::vector<std::string>{"--settings", path});
   callers_.push_back(daemons_.back()->WaitFor("callers"));
   operators_.push_back(daemons_.back()->WaitFor("operators"));
+  peers_.push_back(daemons_.back()->WaitFor("peers"));
   return daemons_.size() - 1;
 }
 
--- a/tests/support/stand.h
+++ b/tests/support/stand.h
@@ -51,7 +51,8 @@
   explicit Stand(const Options& options);
   ~Stand();
 
-  /// Starts one more daemon; returns its index.
+  /// Starts one more daemon, seeded with the peers' addresses of those before
+  /// it; returns its index.
   std::size_t StartDaemon();
 
   /// Applies a change given as the JSON form of ApplyRequest, through a
@@ -92,6 +93,9 @@
   [[nodiscard]] const std::string& operators(std::size_t daemon) const {
     return operators_.at(daemon);
   }
+  [[nodiscard]] const std::string& peers(std::size_t daemon) const {
+    return peers_.at(daemon);
+  }
   [[nodiscard]] const std::string& table() const { return table_address_; }
   /// Stages `a0`, `a1`, `a2`, `b0`, `b1`, `b2`.
   [[nodiscard]] StandEndpoint& stage(const std::string& name) {
@@ -116,6 +120,7 @@
   std::vector<std::optional<Process>> daemons_;
   std::vector<std::string> callers_;
   std::vector<std::string> operators_;
+  std::vector<std::string> peers_;
 };
 
 }  // namespace sycamoreford::support
