--- a/daemons/sycamorectl/main.cc
+++ b/daemons/sycamorectl/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <memory>
 #include <sstream>
+#include <thread>
 
 #include <google/protobuf/util/json_util.h>
 #include <grpcpp/grpcpp.h>
@@ -10,6 +11,7 @@
 
 #include "sycamoreford/v1/operator.grpc.pb.h"
 #include "sycamoreford/version.h"
+#include "text_table.h"
 
 namespace {
 
@@ -19,11 +21,14 @@
 constexpr int kExitRefused = 3;
 constexpr int kExitUnreachable = 4;
 constexpr int kExitConflict = 5;
+constexpr int kExitUnknown = 6;
+constexpr std::chrono::milliseconds kReconnect{500};
 constexpr std::chrono::seconds kCallTimeout{20};
 
 /// What the command line asks for.
 struct Options {
-  std::string server;
+  /// Operators' addresses; reads go to the first that answers.
+  std::vector<std::string> servers;
   std::string token;
   std::string command;
   std::vector<std::string> arguments;
@@ -31,6 +36,9 @@
   std::uint64_t expected = 0;
   std::uint64_t after = 0;
   unsigned limit = 0;
+  std::uint64_t before = 0;
+  unsigned count = 0;
+  std::chrono::milliseconds interval{1'000};
   bool dry_run = false;
   bool json = false;
 };
@@ -75,13 +83,32 @@
   return text.str();
 }
 
+/// What a change did, for example ` put pool bell, delete route x`.
+std::string EditsOf(const v1::Change& change) {
+  constexpr std::size_t kVerbPrefix = 5;
+  constexpr std::size_t kKindPrefix = 5;
+  std::string text;
+  for (const v1::Edit& edit : change.edits()) {
+    const std::string words =
+        v1::Edit::Verb_Name(edit.verb()).substr(kVerbPrefix) + " " +
+        v1::Kind_Name(edit.kind()).substr(kKindPrefix);
+    text += text.empty() ? " " : ", ";
+    for (const char c : words) {
+      text += c == '_' ? '-' : static_cast<char>(std::tolower(c));
+    }
+    text += " " + edit.resource().name();
+  }
+  return text;
+}
+
 class Client {
  public:
-  explicit Client(Options options)
-      : options_(std::move(options)),
-        stub_(v1::Operator::NewStub(
-            grpc::CreateChannel(options_.server,
-                                grpc::InsecureChannelCredentials()))) {}
+  explicit Client(Options options) : options_(std::move(options)) {
+    for (const std::string& server : options_.servers) {
+      stubs_.push_back(v1::Operator::NewStub(
+          grpc::CreateChannel(server, grpc::InsecureChannelCredentials())));
+    }
+  }
 
   int Run() {
     const std::string& command = options_.command;
@@ -109,6 +136,9 @@
     if (command == "state") {
       return State();
     }
+    if (command == "top") {
+      return Top();
+    }
     std::cerr << "unknown command: " << command << '\n';
     return kExitUsage;
   }
@@ -123,6 +153,20 @@
     return context;
   }
 
+  /// Calls a read at one server after another until one can be reached.
+  template <class Call>
+  grpc::Status Read(const Call& call) const {
+    grpc::Status status;
+    for (const auto& stub : stubs_) {
+      status = call(*stub);
+      if (status.error_code() != grpc::StatusCode::UNAVAILABLE ||
+          !status.error_details().empty()) {
+        break;
+      }
+    }
+    return status;
+  }
+
   const std::string& Argument(std::size_t index) const {
     if (index >= options_.arguments.size()) {
       throw TCLAP::ArgException("an argument is missing", options_.command);
@@ -137,14 +181,22 @@
     if (options_.json && typed) {
       std::cout << ToJson(refusal) << '\n';
     } else {
-      std::cerr << "refused: " << status.error_message() << '\n';
+      const bool unknown = refusal.outcome() == "unknown";
+      std::cerr << (unknown ? "outcome unknown: " : "refused: ")
+                << status.error_message() << '\n';
       if (refusal.has_winner()) {
         std::cerr << "revision " << refusal.winner().revision() << " by "
-                  << refusal.winner().author() << " came first\n";
+                  << refusal.winner().author()
+                  << " came first:" << EditsOf(refusal.winner()) << '\n';
       }
     }
     if (!typed) {
-      return kExitUnreachable;
+      return status.error_code() == grpc::StatusCode::RESOURCE_EXHAUSTED
+                 ? kExitRefused
+                 : kExitUnreachable;
+    }
+    if (refusal.outcome() == "unknown") {
+      return kExitUnknown;
     }
     return refusal.type() == "conflict" ? kExitConflict : kExitRefused;
   }
@@ -154,7 +206,9 @@
     request.set_kind(ParseKind(Argument(0)));
     request.set_name(Argument(1));
     v1::GetReply reply;
-    const auto status = stub_->Get(Context().get(), request, &reply);
+    const auto status = Read([&](v1::Operator::Stub& stub) {
+      return stub.Get(Context().get(), request, &reply);
+    });
     if (!status.ok()) {
       return Fail(status);
     }
@@ -168,7 +222,9 @@
       request.set_kind(ParseKind(Argument(0)));
     }
     v1::ListReply reply;
-    const auto status = stub_->List(Context().get(), request, &reply);
+    const auto status = Read([&](v1::Operator::Stub& stub) {
+      return stub.List(Context().get(), request, &reply);
+    });
     if (!status.ok()) {
       return Fail(status);
     }
@@ -176,11 +232,12 @@
       std::cout << ToJson(reply) << '\n';
       return 0;
     }
-    std::cout << "KIND\tNAME\tREVISION\n";
+    sycamoreford::TextTable table({"KIND", "NAME", "REVISION"});
     for (const auto& resource : reply.resources()) {
-      std::cout << KindName(resource) << '\t' << resource.name() << '\t'
-                << resource.revision() << '\n';
+      table.Add({KindName(resource), resource.name(),
+                 std::to_string(resource.revision())});
     }
+    table.Print(std::cout);
     return 0;
   }
 
@@ -202,7 +259,7 @@
       request.set_expected_revision(options_.expected);
     }
     v1::ApplyReply reply;
-    const auto status = stub_->Apply(Context().get(), request, &reply);
+    const auto status = stubs_.front()->Apply(Context().get(), request, &reply);
     return status.ok() ? PrintRevision(reply) : Fail(status);
   }
 
@@ -229,8 +286,11 @@
   int History() {
     v1::HistoryRequest request;
     request.set_limit(options_.limit);
+    request.set_before(options_.before);
     v1::HistoryReply reply;
-    const auto status = stub_->History(Context().get(), request, &reply);
+    const auto status = Read([&](v1::Operator::Stub& stub) {
+      return stub.History(Context().get(), request, &reply);
+    });
     if (!status.ok()) {
       return Fail(status);
     }
@@ -238,11 +298,12 @@
       std::cout << ToJson(reply) << '\n';
       return 0;
     }
-    std::cout << "REVISION\tAUTHOR\tEDITS\tNOTE\n";
+    sycamoreford::TextTable table({"REVISION", "AUTHOR", "NOTE", "EDITS"});
     for (const auto& change : reply.changes()) {
-      std::cout << change.revision() << '\t' << change.author() << '\t'
-                << change.edits_size() << '\t' << change.note() << '\n';
+      table.Add({std::to_string(change.revision()), change.author(),
+                 change.note(), EditsOf(change)});
     }
+    table.Print(std::cout);
     return 0;
   }
 
@@ -253,31 +314,71 @@
     request.set_dry_run(options_.dry_run);
     request.set_note(options_.note);
     v1::ApplyReply reply;
-    const auto status = stub_->Rollback(Context().get(), request, &reply);
+    const auto status =
+        stubs_.front()->Rollback(Context().get(), request, &reply);
     return status.ok() ? PrintRevision(reply) : Fail(status);
   }
 
-  int Watch() {
+  /// Follows one server's stream until it ends.
+  grpc::Status WatchOne(v1::Operator::Stub& stub, std::uint64_t& after) const {
     v1::WatchRequest request;
-    request.set_after_revision(options_.after);
+    request.set_after_revision(after);
     const auto context = Context(false);
-    const auto reader = stub_->Watch(context.get(), request);
+    const auto reader = stub.Watch(context.get(), request);
     v1::WatchEvent event;
     while (reader->Read(&event)) {
+      if (event.revision() <= after) {
+        continue;
+      }
+      after = event.revision();
       if (options_.json) {
         std::cout << ToJson(event) << std::endl;
       } else {
-        std::cout << event.revision() << '\t' << event.change().author() << '\t'
-                  << event.change().note() << std::endl;
+        std::cout << event.revision() << "  " << event.change().author() << "  "
+                  << event.change().note() << EditsOf(event.change())
+                  << std::endl;
       }
     }
-    const auto status = reader->Finish();
-    return status.ok() ? 0 : Fail(status);
+    return reader->Finish();
   }
 
-  int State() {
+  /// Watches until interrupted; goes on at the next server, from the revision
+  /// seen last, when a daemon stops.
+  int Watch() {
+    std::uint64_t after = options_.after;
+    for (std::size_t i = 0;; ++i) {
+      const auto status = WatchOne(*stubs_[i % stubs_.size()], after);
+      const bool is_gone =
+          status.ok() || (status.error_code() == grpc::StatusCode::UNAVAILABLE);
+      if (!is_gone) {
+        return Fail(status);
+      }
+      std::this_thread::sleep_for(kReconnect);
+    }
+  }
+
+  int Top() {
+    for (unsigned i = 0; options_.count == 0 || i < options_.count; ++i) {
+      if (i > 0) {
+        std::this_thread::sleep_for(options_.interval);
+      }
+      if (!options_.json) {
+        std::cout << "\x1b[H\x1b[2J";
+      }
+      const int code = State();
+      std::cout << std::flush;
+      if (code != 0 && code != kExitUnreachable) {
+        return code;
+      }
+    }
+    return 0;
+  }
+
+  int State() const {
     v1::StateReply reply;
-    const auto status = stub_->State(Context().get(), {}, &reply);
+    const auto status = Read([&](v1::Operator::Stub& stub) {
+      return stub.State(Context().get(), {}, &reply);
+    });
     if (!status.ok()) {
       return Fail(status);
     }
@@ -286,47 +387,82 @@
       return 0;
     }
     std::cout << "daemon " << reply.daemon() << ", revision "
-              << reply.revision() << ", confirmed " << reply.config_age_ms()
-              << " ms ago\nPOOL\tENDPOINT\tADDRESS\tIN FLIGHT\tSTATE\n";
+              << reply.revision() << " in force at " << reply.daemons_in_force()
+              << " of " << reply.daemons_alive() << ", confirmed "
+              << reply.config_age_ms() << " ms ago, "
+              << (reply.config_confirmed() ? "serving" : "not serving")
+              << "\n\n";
+    PrintEndpoints(reply);
+    PrintDaemons(reply);
+    PrintLeases(reply);
+    return 0;
+  }
+
+  static void PrintEndpoints(const v1::StateReply& reply) {
+    sycamoreford::TextTable table(
+        {"POOL", "ENDPOINT", "ADDRESS", "IN FLIGHT", "STATE"});
     for (const auto& endpoint : reply.endpoints()) {
       const char* state = endpoint.leaving()     ? "leaving"
                           : endpoint.suspected() ? "suspected"
                                                  : "good";
-      std::cout << endpoint.pool() << '\t' << endpoint.name() << '\t'
-                << endpoint.address() << '\t' << endpoint.in_flight() << '\t'
-                << state << '\n';
+      table.Add({endpoint.pool(), endpoint.name(), endpoint.address(),
+                 std::to_string(endpoint.in_flight()), state});
     }
-    std::cout << "DAEMON\tDATA CENTRE\tREVISION\tSTATE\n";
+    table.Print(std::cout);
+    std::cout << '\n';
+  }
+
+  static void PrintDaemons(const v1::StateReply& reply) {
+    sycamoreford::TextTable table(
+        {"DAEMON", "REGION", "DATA CENTRE", "REVISION", "AGE MS", "STATE"});
     for (const auto& daemon : reply.daemons()) {
-      const char* state = daemon.draining() ? "draining"
-                          : daemon.alive()  ? "alive"
-                                            : "gone";
-      std::cout << daemon.name() << '\t' << daemon.data_center() << '\t'
-                << daemon.revision() << '\t' << state << '\n';
+      const char* state = !daemon.alive()     ? "gone"
+                          : daemon.draining() ? "draining"
+                                              : "alive";
+      table.Add({daemon.name(), daemon.region(), daemon.data_center(),
+                 std::to_string(daemon.revision()),
+                 std::to_string(daemon.age_ms()), state});
     }
-    std::cout << "LEASE\tHOLDER\tFENCING\n";
+    table.Print(std::cout);
+    std::cout << '\n';
+  }
+
+  static void PrintLeases(const v1::StateReply& reply) {
+    sycamoreford::TextTable table({"LEASE", "HOLDER", "FENCING"});
     for (const auto& lease : reply.leases()) {
-      std::cout << lease.name() << '\t' << lease.holder() << '\t'
-                << lease.fencing() << '\n';
+      table.Add(
+          {lease.name(), lease.holder(), std::to_string(lease.fencing())});
     }
-    return 0;
+    table.Print(std::cout);
   }
 
   Options options_;
-  std::unique_ptr<v1::Operator::Stub> stub_;
+  std::vector<std::unique_ptr<v1::Operator::Stub>> stubs_;
 };
 
 Options ParseOptions(int argc, char** argv) {
   TCLAP::CmdLine line(
       "Operators' client of sycamoreford. Commands: get KIND NAME, list "
       "[KIND], apply FILE, delete KIND NAME, history, rollback REVISION, "
-      "watch, state. Kinds: route, service-route, customer, priority, pool, "
+      "watch, state, top. Kinds: route, service-route, customer, priority, "
+      "pool, "
       "model-version, adapter. The operator's token is read from the "
       "environment variable SYCAMORE_TOKEN. Exit codes: 0 done, 2 wrong "
-      "usage, 3 refused, 4 unreachable, 5 conflict.",
+      "usage, 3 refused, 4 unreachable, 5 conflict, 6 outcome unknown.",
       ' ', sycamoreford::kVersion);
-  TCLAP::ValueArg<std::string> server("", "server", "Operators' address", false,
-                                      "127.0.0.1:7070", "ADDRESS", line);
+  TCLAP::MultiArg<std::string> servers(
+      "", "server",
+      "Operators' address; given more than once, reads and watches go on at "
+      "the next when one can't be reached (default 127.0.0.1:7070)",
+      false, "ADDRESS", line);
+  TCLAP::ValueArg<std::uint64_t> before(
+      "", "before", "History only below this revision", false, 0, "N", line);
+  TCLAP::ValueArg<unsigned> count("", "count",
+                                  "Screens of top; 0 goes on until interrupted",
+                                  false, 0, "N", line);
+  TCLAP::ValueArg<unsigned> interval("", "interval-ms",
+                                     "Time between two screens of top", false,
+                                     1'000, "N", line);
   TCLAP::ValueArg<std::string> note("", "note", "Why the change is made", false,
                                     "", "TEXT", line);
   TCLAP::ValueArg<std::uint64_t> expected(
@@ -343,7 +479,11 @@
       "arguments", "Arguments of the command", false, "ARGUMENT", line);
   line.parse(argc, argv);
   const char* token = std::getenv("SYCAMORE_TOKEN");
-  return {.server = server.getValue(),
+  std::vector<std::string> addresses = servers.getValue();
+  if (addresses.empty()) {
+    addresses.emplace_back("127.0.0.1:7070");
+  }
+  return {.servers = std::move(addresses),
           .token = token == nullptr ? "" : token,
           .command = command.getValue(),
           .arguments = arguments.getValue(),
@@ -351,6 +491,9 @@
           .expected = expected.getValue(),
           .after = after.getValue(),
           .limit = limit.getValue(),
+          .before = before.getValue(),
+          .count = count.getValue(),
+          .interval = std::chrono::milliseconds(interval.getValue()),
           .dry_run = dry_run.getValue(),
           .json = json.getValue()};
 }
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -16,6 +16,8 @@
 
 constexpr int kMostThreads = 16;
 constexpr std::uint32_t kMostHistory = 100;
+constexpr int kMostEdits = 1'000;
+constexpr std::size_t kMostNote = 4'096;
 constexpr std::chrono::milliseconds kWatchPoll{500};
 
 grpc::StatusCode StatusCodeOf(Errc code) {
@@ -41,6 +43,31 @@
   }
 }
 
+bool IsKind(v1::Kind kind) {
+  return v1::Kind_IsValid(kind) && kind != v1::KIND_UNSPECIFIED;
+}
+
+/// Checks what the schema alone does not rule out.
+std::optional<Failure> CheckEdits(const v1::ApplyRequest& request) {
+  if (request.edits_size() > kMostEdits) {
+    return Failure{.code = Errc::kTooLarge, .where = "edits"};
+  }
+  if (request.note().size() > kMostNote) {
+    return Failure{.code = Errc::kTooLarge, .where = "note"};
+  }
+  for (int i = 0; i < request.edits_size(); ++i) {
+    const std::string where = "edits[" + std::to_string(i) + "]";
+    if (!IsKind(request.edits(i).kind())) {
+      return Failure{.code = Errc::kInvalidChange, .where = where + ".kind"};
+    }
+    if (request.edits(i).resource().name().empty()) {
+      return Failure{.code = Errc::kInvalidChange,
+                     .where = where + ".resource.name"};
+    }
+  }
+  return std::nullopt;
+}
+
 class Service final : public v1::Operator::Service {
  public:
   Service(EntryState& state, ConfigService& config)
@@ -55,6 +82,12 @@
     if (!author) {
       return ToStatus(author.error());
     }
+    if (!IsKind(request->kind())) {
+      return ToStatus({.code = Errc::kMalformed, .where = "kind"});
+    }
+    if (request->name().empty()) {
+      return ToStatus({.code = Errc::kMalformed, .where = "name"});
+    }
     const ConfigurationPtr config = state_.config.current();
     reply->set_revision(config->revision().value());
     const v1::Resource* found = config->Find(request->kind(), request->name());
@@ -72,6 +105,9 @@
     if (!author) {
       return ToStatus(author.error());
     }
+    if (!IsKind(request->kind()) && request->kind() != v1::KIND_UNSPECIFIED) {
+      return ToStatus({.code = Errc::kMalformed, .where = "kind"});
+    }
     const ConfigurationPtr config = state_.config.current();
     reply->set_revision(config->revision().value());
     for (const v1::Resource* resource : config->List(request->kind())) {
@@ -87,6 +123,9 @@
     if (!author) {
       return ToStatus(author.error());
     }
+    if (auto failure = CheckEdits(*request)) {
+      return ToStatus(*failure);
+    }
     ChangeRequest change;
     change.edits = {request->edits().begin(), request->edits().end()};
     change.expected = Revision(request->expected_revision());
@@ -297,6 +336,7 @@
     v1::Refusal refusal;
     refusal.set_type(std::string(ToString(failure.code)));
     refusal.set_where(failure.where);
+    refusal.set_outcome(std::string(ToString(failure.outcome)));
     const Revision revision = state_.config.current()->revision();
     refusal.set_current_revision(revision.value());
     if (failure.code == Errc::kConflict && revision.value() > 0) {
--- /dev/null
+++ b/tests/config_failure_test.cc
@@ -0,0 +1,173 @@
+// The configuration through real daemons, while the table and daemons fail.
+#include <csignal>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "support/stand.h"
+
+namespace sycamoreford {
+namespace {
+
+using support::Fetch;
+using support::Post;
+using support::Stand;
+
+constexpr std::chrono::seconds kBound{13};
+/// A daemon vouches for what it knows only some time after its start.
+constexpr std::chrono::seconds kVouching{17};
+
+std::string PutPriority(int rank) {
+  return R"({"edits":[{"verb":"VERB_PUT","kind":"KIND_PRIORITY","resource":)"
+         R"({"name":"late","priority":{"rank":)" +
+         std::to_string(rank) + "}}}]}";
+}
+
+void SetTable(Stand& stand, const std::string& mode) {
+  REQUIRE(Post(stand.table(), "/fake/mode", R"({"mode":")" + mode + R"("})")
+              .has_value());
+}
+
+unsigned Readiness(Stand& stand, std::size_t daemon) {
+  HttpRequest request;
+  request.target = "/readyz";
+  const auto ready = Fetch(stand.callers(daemon), request);
+  return ready ? ready->status : 0;
+}
+
+bool WaitForReadiness(Stand& stand, std::size_t daemon, unsigned status) {
+  const auto bound = std::chrono::steady_clock::now() + kBound;
+  while (std::chrono::steady_clock::now() < bound) {
+    if (Readiness(stand, daemon) == status) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+TEST_CASE("A change accepted by one daemon is in force at all") {
+  Stand::Options options;
+  options.daemons = 3;
+  Stand stand(options);
+
+  SECTION("whichever daemon took it") {
+    for (std::size_t i = 0; i < 3; ++i) {
+      REQUIRE(stand.Apply(i, PutPriority(static_cast<int>(i) + 2)) == 0);
+      for (std::size_t j = 0; j < 3; ++j) {
+        stand.WaitForRevision(j, i + 2);
+      }
+    }
+    SECTION("and each operator comes to see all daemons at it") {
+      std::string state;
+      const auto bound = std::chrono::steady_clock::now() + kBound;
+      do {
+        REQUIRE(stand.Control(1, {"state"}, &state) == 0);
+      } while (state.find("in force at 3 of 3") == std::string::npos &&
+               std::chrono::steady_clock::now() < bound);
+      REQUIRE(state.find("revision 4 in force at 3 of 3") != std::string::npos);
+    }
+  }
+
+  SECTION("when the answers of the table are lost it is still told apart") {
+    SetTable(stand, "lose_answers");
+    std::string output;
+    const int code = stand.Apply(0, PutPriority(5), &output);
+    SetTable(stand, "up");
+    CAPTURE(output);
+    REQUIRE(code == 0);
+    for (std::size_t j = 0; j < 3; ++j) {
+      stand.WaitForRevision(j, 2);
+    }
+  }
+
+  SECTION("when the table is down it is refused and never appears") {
+    SetTable(stand, "down");
+    std::string output;
+    REQUIRE(stand.Apply(0, PutPriority(5), &output) == 3);
+    REQUIRE(output.find("table_unavailable") != std::string::npos);
+    SetTable(stand, "up");
+    REQUIRE(stand.Apply(1, PutPriority(6)) == 0);
+    std::string history;
+    REQUIRE(stand.Control(0, {"history"}, &history) == 0);
+    stand.WaitForRevision(0, 2);
+  }
+
+  SECTION("a daemon that was paused takes it up when it wakes") {
+    stand.daemon(2).Signal(SIGSTOP);
+    REQUIRE(stand.Apply(0, PutPriority(5)) == 0);
+    std::this_thread::sleep_for(std::chrono::seconds(11));
+    stand.daemon(2).Signal(SIGCONT);
+    stand.WaitForRevision(2, 2);
+    REQUIRE(WaitForReadiness(stand, 2, 200));
+  }
+
+  SECTION("a daemon that was killed leaves the others a majority") {
+    stand.daemon(2).Signal(SIGKILL);
+    REQUIRE(stand.Apply(0, PutPriority(5)) == 0);
+    stand.WaitForRevision(1, 2);
+    const std::size_t fresh = stand.StartDaemon();
+    stand.WaitForRevision(fresh, 2);
+    REQUIRE(WaitForReadiness(stand, fresh, 200));
+  }
+
+  SECTION("a lone survivor of three takes no change") {
+    stand.daemon(1).Signal(SIGKILL);
+    stand.daemon(2).Signal(SIGKILL);
+    std::string output;
+    REQUIRE(stand.Apply(0, PutPriority(5), &output) == 3);
+    REQUIRE(output.find("config_unconfirmed") != std::string::npos);
+  }
+}
+
+TEST_CASE("In an outage of the table the daemons serve on while they agree") {
+  Stand::Options options;
+  options.daemons = 3;
+  Stand stand(options);
+  std::this_thread::sleep_for(kVouching);
+  SetTable(stand, "down");
+  // Past the time for which the last read of the table counts.
+  std::this_thread::sleep_for(kBound);
+  for (std::size_t i = 0; i < 3; ++i) {
+    REQUIRE(Readiness(stand, i) == 200);
+  }
+
+  SECTION("a daemon that boots meanwhile serves what its peers know") {
+    const std::size_t fresh = stand.StartDaemon();
+    stand.WaitForRevision(fresh, 1);
+    REQUIRE(WaitForReadiness(stand, fresh, 200));
+    const auto answer =
+        Fetch(stand.callers(fresh), Stand::Chat("Plan", 5, false));
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->status == 200);
+  }
+
+  SECTION("a daemon that hears no majority stops at once and typed") {
+    stand.daemon(1).Signal(SIGSTOP);
+    stand.daemon(2).Signal(SIGSTOP);
+    REQUIRE(WaitForReadiness(stand, 0, 503));
+    const auto refused = Fetch(stand.callers(0), Stand::Chat("Plan", 5, false));
+    REQUIRE(refused.has_value());
+    REQUIRE(refused->status == 503);
+    REQUIRE(refused->body.find("config_unconfirmed") != std::string::npos);
+    REQUIRE(refused->body.find(R"("outcome":"not_run")") != std::string::npos);
+    REQUIRE_FALSE(refused->fields.Get("retry-after").empty());
+    stand.daemon(1).Signal(SIGCONT);
+    stand.daemon(2).Signal(SIGCONT);
+    REQUIRE(WaitForReadiness(stand, 0, 200));
+  }
+
+  SECTION("a change is refused, and all serve on until the table is back") {
+    REQUIRE(stand.Apply(0, PutPriority(5)) == 3);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    REQUIRE(Readiness(stand, 1) == 200);
+    SetTable(stand, "up");
+    REQUIRE(stand.Apply(0, PutPriority(6)) == 0);
+    for (std::size_t i = 0; i < 3; ++i) {
+      stand.WaitForRevision(i, 2);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sycamoreford
