Plan chains along the greatest flow, with slow, cold and suspected endpoints

Cause: the planner took the cheapest cover by this daemon's counts alone, so that all daemons met at the same endpoint while counts were equal, a pool with two ways through was used by one of them, and a suspected endpoint got every waiting request at once when its time was over.

Ruled out: the best of all endpoints by own counts (ties send every idle daemon to the same one); a kept cheapest cover as a second planner.

--- a/include/sycamoreford/route/chain.h
+++ b/include/sycamoreford/route/chain.h
@@ -14,6 +14,9 @@
   /// IP address and port.
   std::string address;
   LayerRange layers;
+  /// Time that one token was expected to take when the chain was planned, in
+  /// seconds; 0 when it is not known.
+  double token_seconds = 0;
 };
 
 /// Stages in the order of layers. A valid chain covers `[0, layers)` with no
--- a/include/sycamoreford/route/chain_planner.h
+++ b/include/sycamoreford/route/chain_planner.h
@@ -3,11 +3,12 @@
 #include <concepts>
 #include <cstdint>
 #include <set>
-#include <string>
+#include <vector>
 
 #include "sycamoreford/core/failure.h"
 #include "sycamoreford/route/chain.h"
 #include "sycamoreford/route/endpoint_load.h"
+#include "sycamoreford/route/pool_plan.h"
 #include "sycamoreford/v1/config.pb.h"
 
 namespace sycamoreford {
@@ -18,48 +19,74 @@
   { source.LoadOf(id) } -> std::same_as<EndpointLoad>;
 };
 
+/// What a request wishes of its chain.
+struct ChainWish {
+  /// Endpoints that must not be used, for example those that failed an earlier
+  /// attempt.
+  std::set<EndpointId> avoid;
+  /// Spreads requests; take a new random number for each attempt.
+  std::uint64_t random = 0;
+  /// Hash of the prompt's prefix, or 0. Requests with equal prefixes meet at
+  /// the same endpoints for as long as those are not much busier than others.
+  std::uint64_t prefix = 0;
+  /// Endpoints to compare at each step; 0 compares all.
+  std::uint32_t choices = 0;
+  /// Live daemons, which share the endpoints' slots.
+  std::uint32_t daemons = 1;
+};
+
 namespace impl {
 
-/// An endpoint as a step in a plan.
-struct PlanStep {
-  const v1::Endpoint* endpoint = nullptr;
-  double cost = 0;
+/// A step and what is known of it now.
+struct StepState {
+  const PlanStep* step = nullptr;
+  EndpointLoad load;
 };
 
-/// Finds the cheapest cover of `[0, layers)` by whole endpoint ranges.
-[[nodiscard]] Result<Chain> CheapestCover(const std::vector<PlanStep>& steps,
-                                          std::uint32_t layers);
+/// Chooses among usable steps; see `PlanChain`.
+[[nodiscard]] Result<Chain> ChooseChain(const std::vector<StepState>& usable,
+                                        std::uint32_t layers,
+                                        const ChainWish& wish);
 
-/// Expected time of one token through an endpoint, in seconds.
-[[nodiscard]] double StageCost(const v1::Endpoint& endpoint,
-                               const EndpointLoad& load,
-                               std::uint32_t bytes_per_token) noexcept;
+/// Most requests that one of `daemons` daemons sends to an endpoint at once.
+[[nodiscard]] std::uint32_t SlotShare(std::uint32_t slots,
+                                      std::uint32_t daemons) noexcept;
 
 }  // namespace impl
 
-/// Plans a chain over the endpoints of a pool.
+/// Plans a chain.
+///
+/// From layer 0 on, each step compares a few endpoints, drawn by their part of
+/// the greatest flow, and takes the one with the least work for its part; only
+/// steps from which the last layer can be reached take part.
 ///
-/// \param avoid endpoints that must not be used, for example those that failed
-///     an earlier attempt.
-/// \returns the cheapest chain that covers all layers of the version, or
-///     `kNoEndpoint` (not run) when there is none.
+/// \returns a chain that covers all layers of the plan, or `kNoEndpoint` (not
+///     run) when there is none.
+template <LoadSource Loads>
+[[nodiscard]] Result<Chain> PlanChain(const PoolPlan& plan,
+                                      const Loads& loads,
+                                      const ChainWish& wish) {
+  std::vector<impl::StepState> usable;
+  usable.reserve(plan.steps().size());
+  for (const PlanStep& step : plan.steps()) {
+    const EndpointLoad load = loads.LoadOf(step.endpoint);
+    if (!load.is_leaving && !load.is_suspected &&
+        load.in_flight < impl::SlotShare(step.slots, wish.daemons) &&
+        !wish.avoid.contains(step.endpoint)) {
+      usable.push_back({&step, load});
+    }
+  }
+  return impl::ChooseChain(usable, plan.layers(), wish);
+}
+
+/// Plans a chain over a pool that has no plan yet; deterministic.
 template <LoadSource Loads>
 [[nodiscard]] Result<Chain> PlanChain(const v1::Pool& pool,
                                       const v1::ModelVersion& version,
                                       const Loads& loads,
                                       const std::set<EndpointId>& avoid) {
-  std::vector<impl::PlanStep> steps;
-  for (const v1::Endpoint& endpoint : pool.endpoints()) {
-    const EndpointId id(endpoint.name());
-    const EndpointLoad load = loads.LoadOf(id);
-    const bool usable = !endpoint.leaving() && !load.is_leaving &&
-                        !load.is_suspected && !avoid.contains(id);
-    if (usable) {
-      steps.push_back({&endpoint, impl::StageCost(endpoint, load,
-                                                  version.bytes_per_token())});
-    }
-  }
-  return impl::CheapestCover(steps, version.layers());
+  return PlanChain(PoolPlan::Compute(pool, version), loads,
+                   ChainWish{.avoid = avoid});
 }
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/route/endpoint_table.h
+++ b/include/sycamoreford/route/endpoint_table.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,7 +16,13 @@
 namespace sycamoreford {
 
 /// What became of an attempt, as far as one endpoint is concerned.
-enum class EndpointVerdict { kGood, kBad };
+enum class EndpointVerdict {
+  kGood,
+  /// It failed; it is suspected until a trial succeeds.
+  kBad,
+  /// It works but lags behind; it gets less traffic.
+  kSlow,
+};
 
 /// What this daemon knows of all endpoints; shared by the workers.
 ///
@@ -31,30 +39,71 @@
     std::map<EndpointId, EndpointLoad> loads_;
   };
 
+  /// Stages of a chain, by index, at which a request is a suspected endpoint's
+  /// only trial.
+  using Trials = std::vector<std::size_t>;
+
   /// A consistent copy for planning.
   [[nodiscard]] View Snapshot(TimePoint now) const;
 
   /// Counts a request at every stage of `chain`.
-  void Begin(const Chain& chain);
+  ///
+  /// \returns its trials, to be handed to `End`.
+  Trials Begin(const Chain& chain);
 
-  /// Uncounts a request. Precondition: `Begin` was called with this chain.
-  void End(const Chain& chain);
+  /// Uncounts a request. Precondition: `Begin` was called with this chain and
+  /// returned `trials`.
+  void End(const Chain& chain, const Trials& trials = {});
 
   /// Records how an endpoint behaved. Failures in a row lengthen the time
-  /// until it is tried again, up to a bound.
+  /// until it is tried again, up to a bound; a success after failures makes it
+  /// warm up.
   void Report(const EndpointId& id, EndpointVerdict verdict, TimePoint now);
 
+  /// Records the service time of an attempt as a multiple of what was
+  /// expected. An endpoint whose smoothed multiple is well above the median of
+  /// all loses traffic, and wins it back with time or better reports.
+  ///
+  /// Precondition: `multiple` is positive.
+  void ReportPace(const EndpointId& id, double multiple, TimePoint now);
+
+  /// Records a late load report: requests of other daemons at an endpoint.
+  /// It counts less as it ages and not at all after a bound.
+  void ReportLoad(const EndpointId& id, double requests, TimePoint now);
+
   /// Records what an endpoint or the platform's list says of leaving.
   void SetLeaving(const EndpointId& id, bool is_leaving);
 
+  /// Takes over the endpoints of a configuration: forgets all others once they
+  /// run nothing of this daemon, and makes new ones warm up unless the table
+  /// was empty.
+  void Keep(const std::set<EndpointId>& configured, TimePoint now);
+
+  /// Number of endpoints that it holds.
+  [[nodiscard]] std::size_t size() const;
+
  private:
   struct Entry {
     std::uint32_t in_flight = 0;
+    bool is_configured = false;
     bool is_leaving = false;
     std::uint32_t failures = 0;
     TimePoint suspected_until{};
+    bool has_trial = false;
+    /// Smoothed service time as a multiple of the expected; 0 is unknown.
+    double pace = 0;
+    TimePoint pace_at{};
+    TimePoint warms_since{};
+    double reported = 0;
+    TimePoint reported_at{};
   };
 
+  [[nodiscard]] double MedianPace() const;
+  [[nodiscard]] static double SpeedOf(const Entry& entry,
+                                      double median,
+                                      TimePoint now);
+  [[nodiscard]] static double ReportedOf(const Entry& entry, TimePoint now);
+
   mutable RankedMutex mutex_{LockRank::kEndpoints};
   std::map<EndpointId, Entry> entries_;
 };
@@ -70,6 +119,7 @@
  private:
   EndpointTable& table_;
   Chain chain_;
+  EndpointTable::Trials trials_;
 };
 
 }  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/route/fleet_view.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace sycamoreford {
+
+/// Place of this daemon among the live ones.
+struct FleetView {
+  /// Position in the order of the daemons' names; below `count`.
+  std::uint32_t index = 0;
+  /// Number of live daemons, this one included; at least 1.
+  std::uint32_t count = 1;
+
+  friend bool operator==(const FleetView&, const FleetView&) = default;
+};
+
+}  // namespace sycamoreford
--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <concepts>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -34,6 +35,13 @@
   std::uint32_t max_tokens = 0;
   std::uint32_t priority = 0;
   TimePoint deadline{};
+  /// Plan of `pool` and `version`; without one each attempt works it out.
+  std::shared_ptr<const PoolPlan> plan;
+  /// Wishes for the chains, but for what to avoid.
+  ChainWish wish;
+  /// Whether a further attempt over a chain may be made; `resumes` when tokens
+  /// were delivered. Empty allows all.
+  std::function<bool(const Chain& chain, bool resumes)> may_retry;
 };
 
 /// Bounds of one answer.
@@ -77,17 +85,19 @@
         last.code = Errc::kDeadlineExceeded;
         break;
       }
-      auto chain = PlanChain(order.pool, order.version,
-                             endpoints_.Snapshot(clock_.Now()), avoid);
+      auto chain = Plan(order, progress, avoid);
       if (!chain && !avoid.empty()) {
         avoid.clear();
-        chain = PlanChain(order.pool, order.version,
-                          endpoints_.Snapshot(clock_.Now()), avoid);
+        chain = Plan(order, progress, avoid);
       }
       if (!chain) {
         last = chain.error();
         break;
       }
+      if (progress.attempt().value() > 0 && order.may_retry &&
+          !order.may_retry(*chain, !progress.delivered().empty())) {
+        break;
+      }
       auto ended = co_await RunAttempt(order, *chain, progress, sink);
       if (ended) {
         co_return *ended;
@@ -111,6 +121,35 @@
  private:
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
 
+  Result<Chain> Plan(const AnswerOrder& order,
+                     const AnswerProgress& progress,
+                     const std::set<EndpointId>& avoid) const {
+    const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
+    if (order.plan == nullptr) {
+      return PlanChain(order.pool, order.version, loads, avoid);
+    }
+    ChainWish wish = order.wish;
+    wish.avoid = avoid;
+    wish.random += progress.attempt().value();
+    return PlanChain(*order.plan, loads, wish);
+  }
+
+  /// Tells the endpoints of a chain how its pace compares with what was
+  /// expected of it.
+  void ReportPace(const Chain& chain, Duration taken, std::uint32_t tokens) {
+    double expected = 0;
+    for (const ChainStage& stage : chain) {
+      expected += stage.token_seconds * tokens;
+    }
+    const double seconds = std::chrono::duration<double>(taken).count();
+    if (expected <= 0 || seconds <= 0) {
+      return;
+    }
+    for (const ChainStage& stage : chain) {
+      endpoints_.ReportPace(stage.endpoint, seconds / expected, clock_.Now());
+    }
+  }
+
   static GenerateOrder ToGenerateOrder(const AnswerOrder& order,
                                        const Chain& chain,
                                        const AnswerProgress& progress) {
@@ -142,6 +181,8 @@
       co_return stream.error();
     }
     auto timeout = limits_.first_token_timeout;
+    const std::size_t before = progress.delivered().size();
+    TimePoint first_token{};
     for (;;) {
       auto event = co_await stream->Next(timeout);
       if (!event) {
@@ -150,6 +191,9 @@
       timeout = limits_.between_tokens_timeout;
       switch (progress.OnEvent(*event)) {
         case ProgressAction::kDeliver:
+          if (progress.delivered().size() == before + 1) {
+            first_token = clock_.Now();
+          }
           co_await sink.OnToken(progress.delivered().back());
           break;
         case ProgressAction::kDrop:
@@ -159,6 +203,11 @@
             endpoints_.Report(stage.endpoint, EndpointVerdict::kGood,
                               clock_.Now());
           }
+          if (progress.delivered().size() > before + 1) {
+            ReportPace(chain, clock_.Now() - first_token,
+                       static_cast<std::uint32_t>(progress.delivered().size() -
+                                                  before - 1));
+          }
           co_return progress.finish_reason();
         case ProgressAction::kAbort:
           co_return Failure{.code = Errc::kBadEndpointAnswer,
--- /dev/null
+++ b/tests/endpoint_table_test.cc
@@ -0,0 +1,174 @@
+// What a daemon learns of endpoints: suspicion with single trials, lost and
+// regained traffic, warm-up, and bounded memory.
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "sycamoreford/route/endpoint_table.h"
+
+namespace sycamoreford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const EndpointId kA("a");
+const EndpointId kB("b");
+
+Chain ChainOf(const EndpointId& id) {
+  return {{id, "127.0.0.1:1", {0, 1}, 0}};
+}
+
+TEST_CASE("an endpoint is judged by its attempts") {
+  EndpointTable table;
+  TimePoint now{seconds(100)};
+  const auto load = [&](const EndpointId& id) {
+    return table.Snapshot(now).LoadOf(id);
+  };
+
+  SECTION("a failure makes it suspected") {
+    table.Report(kA, EndpointVerdict::kBad, now);
+    REQUIRE(load(kA).is_suspected);
+
+    SECTION("and after a while one request, not more, tries it") {
+      now += seconds(1);
+      REQUIRE_FALSE(load(kA).is_suspected);
+      auto trial = std::make_unique<ChainHold>(table, ChainOf(kA));
+      REQUIRE(load(kA).is_suspected);
+
+      SECTION("whose success opens it again, cold") {
+        table.Report(kA, EndpointVerdict::kGood, now);
+        trial.reset();
+        REQUIRE_FALSE(load(kA).is_suspected);
+        REQUIRE(load(kA).speed < 0.2);
+        now += seconds(11);
+        REQUIRE(load(kA).speed == 1);
+      }
+
+      SECTION("whose failure closes it for longer") {
+        table.Report(kA, EndpointVerdict::kBad, now);
+        trial.reset();
+        now += milliseconds(700);
+        REQUIRE(load(kA).is_suspected);
+        now += milliseconds(400);
+        REQUIRE_FALSE(load(kA).is_suspected);
+      }
+
+      SECTION("whose cancellation lets another one try") {
+        trial.reset();
+        REQUIRE_FALSE(load(kA).is_suspected);
+      }
+    }
+
+    SECTION("and requests from before the failure are no trials") {
+      const ChainHold other(table, ChainOf(kB));
+      REQUIRE_FALSE(load(kB).is_suspected);
+    }
+  }
+
+  SECTION("a slow one loses traffic and wins it back") {
+    for (const char* name : {"b", "c", "d"}) {
+      table.ReportPace(EndpointId(name), 1.0, now);
+    }
+    for (int i = 0; i < 20; ++i) {
+      table.ReportPace(kA, 10.0, now);
+    }
+    REQUIRE(load(kA).speed < 0.15);
+    REQUIRE(load(kB).speed == 1);
+    REQUIRE_FALSE(load(kA).is_suspected);
+
+    SECTION("by good reports") {
+      for (int i = 0; i < 20; ++i) {
+        table.ReportPace(kA, 1.0, now);
+      }
+      REQUIRE(load(kA).speed == 1);
+    }
+
+    SECTION("by time") {
+      now += seconds(30);
+      REQUIRE(load(kA).speed > 0.9);
+    }
+  }
+
+  SECTION("a stream that lags makes its endpoint slow, not suspected") {
+    table.ReportPace(kB, 1.0, now);
+    table.Report(kA, EndpointVerdict::kSlow, now);
+    table.Report(kA, EndpointVerdict::kSlow, now);
+    REQUIRE(load(kA).speed <= 0.5);
+    REQUIRE_FALSE(load(kA).is_suspected);
+  }
+
+  SECTION("a load report fades") {
+    table.ReportLoad(kA, 8, now);
+    REQUIRE(load(kA).reported == 8);
+    now += seconds(1);
+    REQUIRE(load(kA).reported == Approx(4));
+    now += seconds(2);
+    REQUIRE(load(kA).reported == 0);
+  }
+
+  SECTION("a configuration brings and takes endpoints") {
+    table.Keep({kA}, now);
+    REQUIRE(load(kA).speed == 1);
+    now += seconds(60);
+    table.Keep({kA, kB}, now);
+    REQUIRE(load(kA).speed == 1);
+    REQUIRE(load(kB).speed < 0.2);
+
+    SECTION("those that left go when they run nothing") {
+      auto hold = std::make_unique<ChainHold>(table, ChainOf(kA));
+      table.Keep({kB}, now);
+      REQUIRE(load(kA).in_flight == 1);
+      hold.reset();
+      table.Keep({kB}, now);
+      REQUIRE(table.size() == 1);
+    }
+  }
+}
+
+TEST_CASE("counts and trials never leak") {
+  const bool holds = rc::check([] {
+    EndpointTable table;
+    TimePoint now{seconds(100)};
+    const std::vector<EndpointId> ids = {kA, kB, EndpointId("c")};
+    std::vector<std::pair<EndpointId, std::unique_ptr<ChainHold>>> holds;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 7), rc::gen::inRange(0, 3)));
+    for (const auto& [action, which] : steps) {
+      const EndpointId& id = ids[static_cast<std::size_t>(which)];
+      if (action == 0) {
+        holds.emplace_back(id, std::make_unique<ChainHold>(table, ChainOf(id)));
+      } else if (action == 1 && !holds.empty()) {
+        holds.erase(holds.begin());
+      } else if (action == 2) {
+        table.Report(id, EndpointVerdict::kBad, now);
+      } else if (action == 3) {
+        table.Report(id, EndpointVerdict::kGood, now);
+      } else if (action == 4) {
+        table.Keep({id}, now);
+      } else if (action == 5) {
+        table.ReportPace(id, 1 + which * 5, now);
+      } else {
+        now += seconds(which * 10);
+      }
+      for (const EndpointId& each : ids) {
+        const EndpointLoad load = table.Snapshot(now).LoadOf(each);
+        const auto running =
+            std::count_if(holds.begin(), holds.end(),
+                          [&](const auto& hold) { return hold.first == each; });
+        RC_ASSERT(load.in_flight == running);
+        RC_ASSERT(load.speed > 0 && load.speed <= 1);
+      }
+    }
+    holds.clear();
+    now += seconds(60);
+    for (const EndpointId& each : ids) {
+      RC_ASSERT_FALSE(table.Snapshot(now).LoadOf(each).is_suspected);
+    }
+    table.Keep({}, now);
+    RC_ASSERT(table.size() == 0U);
+  });
+  REQUIRE(holds);
+}
+
+}  // namespace
+}  // namespace sycamoreford
