Admit requests by fair shares, limits, places and deadlines

Cause: every request ran at once, whatever its customer's limits, priority and deadline, and failed attempts were repeated without any bound but their number; each request hashed its key once for each customer.

Change: decisions in admission/ (start-time fair queueing of held time within ranks, limits by customer, places that adapt to what endpoints take, refusals at once with spread times to come back), a gate that requests await, retry budgets by customer and endpoint, keys recognized by verified hints; wired into the callers' front, answers and service calls.

Ruled out: charging requests by declared length (a customer that declares much and uses little would wait for nothing); places of a single daemon above the pool's slots (the limit rose beyond them at the first served request, seen in the test of ranks).

Seen: admission_test, retry_budget_test and path_test pass.

--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -3,6 +3,7 @@
 #include <atomic>
 
 #include "sycamoreford/adapters/config_holder.h"
+#include "sycamoreford/adapters/entry_policy.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
 #include "sycamoreford/route/endpoint_table.h"
@@ -17,6 +18,7 @@
   const Settings settings;
   ConfigHolder config;
   EndpointTable endpoints;
+  EntryPolicy policy{endpoints};
   HttpTableClient table;
   HttpEngineClient engines;
   SteadyClock clock;
--- a/src/adapters/caller_front.cc
+++ b/src/adapters/caller_front.cc
@@ -61,8 +61,8 @@
   if (!authorization.starts_with(kBearer)) {
     return Failure{.code = Errc::kUnauthorized, .where = "authorization"};
   }
-  const v1::Resource* customer = caller.config->FindCustomerByKey(
-      std::string(authorization.substr(kBearer.size())));
+  const v1::Resource* customer = state.policy.FindCustomer(
+      caller.config, std::string(authorization.substr(kBearer.size())));
   if (customer == nullptr) {
     return Failure{.code = Errc::kUnauthorized, .where = "authorization"};
   }
--- a/src/adapters/chat_handler.cc
+++ b/src/adapters/chat_handler.cc
@@ -215,6 +215,10 @@
   if (!order) {
     co_return order.error();
   }
+  auto ticket = co_await state.policy.AdmitAnswer(caller, chat->model, *order);
+  if (!ticket) {
+    co_return ticket.error();
+  }
   const Settings::Limits& bounds = state.settings.limits;
   const AnswerLimits limits{
       .attempts = bounds.attempts,
@@ -243,6 +247,9 @@
       .With("customer", caller.customer.value())
       .With("attempts", driver.attempts());
   if (!ended) {
+    if (ended.error().code == Errc::kEndpointRefused) {
+      ticket->set_refused();
+    }
     co_return ended.error();
   }
   co_return Result<void>();
--- /dev/null
+++ b/src/adapters/entry_policy.cc
@@ -0,0 +1,147 @@
+#include "sycamoreford/adapters/entry_policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <set>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "sycamoreford/admission/local_share.h"
+
+namespace sycamoreford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint32_t kChoices = 2;
+/// A daemon may try to use this many times its part of the places.
+constexpr std::uint32_t kOverPart = 2;
+constexpr std::uint32_t kDefaultSlots = 16;
+constexpr std::chrono::milliseconds kDefaultWait{2'000};
+/// Bytes of a prompt that decide where it finds a cached prefix.
+constexpr std::size_t kPrefixBytes = 256;
+constexpr unsigned kIndexShift = 32;
+
+std::uint64_t RandomNumber() {
+  thread_local std::mt19937_64 generator(std::random_device{}());
+  return generator();
+}
+
+/// Hash of a prompt's beginning; 0 when it is too short to be worth keeping.
+std::uint64_t PrefixOf(const std::string& messages) {
+  return messages.size() < kPrefixBytes
+             ? 0
+             : XXH3_64bits(messages.data(), kPrefixBytes);
+}
+
+std::set<EndpointId> EndpointsOf(const Configuration& config) {
+  std::set<EndpointId> ids;
+  for (const v1::Resource* pool : config.List(v1::KIND_POOL)) {
+    for (const v1::Endpoint& endpoint : pool->pool().endpoints()) {
+      ids.emplace(endpoint.name());
+    }
+  }
+  return ids;
+}
+
+}  // namespace
+
+void EntryPolicy::SetFleet(const FleetView& fleet) {
+  fleet_ = (std::uint64_t{fleet.index} << kIndexShift) | fleet.count;
+}
+
+FleetView EntryPolicy::fleet() const {
+  const std::uint64_t packed = fleet_;
+  return {static_cast<std::uint32_t>(packed >> kIndexShift),
+          static_cast<std::uint32_t>(packed)};
+}
+
+std::shared_ptr<const PlanSet> EntryPolicy::Plans(
+    const ConfigurationPtr& config) {
+  const std::uint64_t revision = config->revision().value();
+  std::uint64_t kept = kept_revision_;
+  if (kept < revision &&
+      kept_revision_.compare_exchange_strong(kept, revision)) {
+    endpoints_.Keep(EndpointsOf(*config), clock_.Now());
+  }
+  return plans_.For(config, fleet());
+}
+
+AdmissionRequest EntryPolicy::ToAdmission(const CallerRequest& caller,
+                                          const std::string& pool,
+                                          double concurrency) const {
+  const FleetView live = fleet();
+  const v1::Customer& customer =
+      caller.config->Find(v1::KIND_CUSTOMER, caller.customer.value())
+          ->customer();
+  const v1::Priority& priority =
+      caller.config->Find(v1::KIND_PRIORITY, customer.priority())->priority();
+  AdmissionRequest request;
+  request.pool = pool;
+  request.places =
+      static_cast<std::uint32_t>(std::ceil(concurrency / live.count));
+  request.places = std::max(request.places, 1U);
+  request.most_places =
+      live.count > 1 ? kOverPart * request.places : request.places;
+  request.customer = caller.customer;
+  request.deadline = caller.deadline;
+  CustomerTerms& terms = request.terms;
+  terms.rank = priority.rank();
+  terms.weight = std::max(customer.weight(), 1U);
+  terms.max_in_flight =
+      LocalCount(customer.max_in_flight(), live, std::nullopt);
+  terms.max_per_second =
+      LocalShare(customer.max_requests_per_second(), live, std::nullopt);
+  terms.max_wait = priority.max_queue_ms() > 0
+                       ? std::chrono::milliseconds(priority.max_queue_ms())
+                       : kDefaultWait;
+  return request;
+}
+
+asio::awaitable<Result<AdmissionTicket>> EntryPolicy::AdmitAnswer(
+    const CallerRequest& caller,
+    const std::string& route,
+    AnswerOrder& order) {
+  order.plan = Plans(caller.config)->Find(route);
+  order.wish.random = RandomNumber();
+  order.wish.prefix = PrefixOf(order.messages);
+  order.wish.choices = kChoices;
+  order.wish.daemons = fleet().count;
+  order.may_retry = [this, customer = caller.customer](const Chain& chain,
+                                                       bool resumes) {
+    std::vector<EndpointId> ids;
+    for (const ChainStage& stage : chain) {
+      ids.push_back(stage.endpoint);
+    }
+    return retries_.MayRetry(customer, ids, resumes, clock_.Now());
+  };
+  retries_.OnRequest(caller.customer, clock_.Now());
+  const v1::Resource* found = caller.config->Find(v1::KIND_ROUTE, route);
+  const AdmissionRequest request =
+      ToAdmission(caller, found->route().pool(), order.plan->concurrency());
+  co_return co_await gate_.Enter(request);
+}
+
+asio::awaitable<Result<AdmissionTicket>> EntryPolicy::AdmitCall(
+    const CallerRequest& caller,
+    const std::string& pool) {
+  (void)Plans(caller.config);
+  double slots = 0;
+  const v1::Resource* found = caller.config->Find(v1::KIND_POOL, pool);
+  for (const v1::Endpoint& endpoint : found->pool().endpoints()) {
+    slots += endpoint.slots() > 0 ? endpoint.slots() : kDefaultSlots;
+  }
+  retries_.OnRequest(caller.customer, clock_.Now());
+  const AdmissionRequest request = ToAdmission(caller, pool, slots);
+  co_return co_await gate_.Enter(request);
+}
+
+bool EntryPolicy::MayRetry(const CallerRequest& caller,
+                           const EndpointId& endpoint) {
+  return retries_.MayRetry(caller.customer, {endpoint}, false, clock_.Now());
+}
+
+}  // namespace sycamoreford
--- a/src/adapters/service_handler.cc
+++ b/src/adapters/service_handler.cc
@@ -94,6 +94,7 @@
 
 /// Sends the call until it was answered, or may not be sent again.
 asio::awaitable<Result<HttpResponse>> Dispatch(EntryState& state,
+                                               const CallerRequest& caller,
                                                const ServiceCall& call) {
   std::set<EndpointId> avoid;
   bool may_have_run = false;
@@ -105,6 +106,9 @@
       break;
     }
     const EndpointId id(endpoint->name());
+    if (!avoid.empty() && !state.policy.MayRetry(caller, id)) {
+      break;
+    }
     Chain chain;
     chain.push_back({id, endpoint->address(), LayerRange()});
     const ChainHold hold(state.endpoints, chain);
@@ -156,7 +160,7 @@
     response.body = grant->replay->body;
     co_return response;
   }
-  auto answer = co_await Dispatch(state, call);
+  auto answer = co_await Dispatch(state, caller, call);
   if (answer) {
     ClaimAnswer answered;
     answered.status = answer->status;
@@ -183,10 +187,14 @@
   if (!call) {
     co_return call.error();
   }
+  auto ticket = co_await state.policy.AdmitCall(caller, call->route.pool());
+  if (!ticket) {
+    co_return ticket.error();
+  }
   const std::string key(exchange.request().fields.Get("idempotency-key"));
   Result<HttpResponse> answer = HttpResponse();
   if (key.empty()) {
-    answer = co_await Dispatch(state, *call);
+    answer = co_await Dispatch(state, caller, *call);
   } else {
     answer = co_await DispatchOnce(state, caller, *call, key);
   }
--- a/src/route/chain_planner.cc
+++ b/src/route/chain_planner.cc
@@ -25,6 +25,9 @@
 /// How much busier than the mean an endpoint may be and still be kept for its
 /// prefixes.
 constexpr double kPrefixExcess = 1.25;
+/// A daemon may send this many times its even part, since others may send
+/// less; endpoints refuse what is beyond their slots.
+constexpr std::uint32_t kOverShare = 2;
 /// Endpoints tried in turn for a prefix.
 constexpr std::uint32_t kPrefixChoices = 2;
 
@@ -104,8 +107,10 @@
 }  // namespace
 
 std::uint32_t SlotShare(std::uint32_t slots, std::uint32_t daemons) noexcept {
-  const std::uint32_t among = std::max(daemons, 1U);
-  return (slots + among - 1) / among;
+  if (daemons <= 1) {
+    return slots;
+  }
+  return std::min(slots, (kOverShare * slots + daemons - 1) / daemons);
 }
 
 Result<Chain> ChooseChain(const std::vector<StepState>& usable,
--- /dev/null
+++ b/tests/retry_budget_test.cc
@@ -0,0 +1,89 @@
+// Retries stay a part of the requests, for each customer and each endpoint.
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "sycamoreford/admission/retry_budget.h"
+
+namespace sycamoreford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const EndpointId kEndpoint("e");
+
+TEST_CASE("retries have a budget") {
+  RetryBudgets budgets;
+  TimePoint now{seconds(100)};
+  const auto spend = [&](const std::string& customer,
+                         const std::string& endpoint, bool resumes = false) {
+    int allowed = 0;
+    while (allowed < 100 &&
+           budgets.MayRetry(CustomerId(customer), {EndpointId(endpoint)},
+                            resumes, now)) {
+      ++allowed;
+    }
+    return allowed;
+  };
+
+  SECTION("a customer that spent its own leaves others theirs") {
+    REQUIRE(spend("a", "x") == 10);
+    REQUIRE(spend("b", "y") == 10);
+  }
+
+  SECTION("an endpoint is spared whoever comes") {
+    REQUIRE(spend("a", "x") == 10);
+    REQUIRE(spend("b", "x") == 0);
+  }
+
+  SECTION("requests and time earn it back") {
+    spend("a", "x");
+    for (int i = 0; i < 10; ++i) {
+      budgets.OnRequest(CustomerId("a"), now);
+    }
+    REQUIRE(spend("a", "y") == 1);
+    now += seconds(4);
+    REQUIRE(spend("a", "z") == 2);
+  }
+
+  SECTION("a stream that has begun is resumed on credit") {
+    REQUIRE(spend("a", "x", true) == 100);
+    REQUIRE(spend("a", "y") == 0);
+    now += seconds(21);
+    REQUIRE(spend("a", "y") == 0);
+    now += seconds(2);
+    REQUIRE(spend("a", "y") == 1);
+  }
+}
+
+TEST_CASE("retries are bounded by requests and time") {
+  const bool holds = rc::check([] {
+    RetryBudgets budgets;
+    const TimePoint begun{seconds(100)};
+    TimePoint now = begun;
+    int requests = 0;
+    int retries = 0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1'000));
+    for (const int step : steps) {
+      if (step < 300) {
+        budgets.OnRequest(CustomerId("a"), now);
+        ++requests;
+      } else if (step < 900) {
+        retries +=
+            budgets.MayRetry(CustomerId("a"), {kEndpoint}, false, now) ? 1 : 0;
+      } else {
+        now += milliseconds(step - 900);
+      }
+      const std::chrono::duration<double> passed = now - begun;
+      RC_ASSERT(retries <= 10 + 0.1 * requests + 0.5 * passed.count() + 1e-3);
+    }
+    now += std::chrono::minutes(5);
+    budgets.OnRequest(CustomerId("b"), now);
+    RC_ASSERT(budgets.size() == 0U);
+  });
+  REQUIRE(holds);
+}
+
+}  // namespace
+}  // namespace sycamoreford
