Adapt places to the pace of work, and add benches of the policy

Cause: the limit on requests at once stood on slots alone; with twelve slots a stage three daemons held 36 to 72 requests where about 15 keep six stages busy, so that answers took as long as their deadline.

Change: places start from the max-flow bound and the declared time of a token, rise while tokens take little longer than without load, and fall in proportion when they take much longer; what could not be finished by its deadline after its wait is refused at once. Keys that were refused before cost no hash.

--- /dev/null
+++ b/bench/capacity_bench.cc
@@ -0,0 +1,175 @@
+// Slopes for docs/CAPACITY.md: processor time of a chain and of a plan by
+// replicas, of a key look-up and memory of admission by customers.
+#include <malloc.h>
+#include <time.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "support/series.h"
+#include "sycamoreford/admission/admission.h"
+#include "sycamoreford/admission/customer_keys.h"
+#include "sycamoreford/route/chain_planner.h"
+#include "sycamoreford/route/endpoint_table.h"
+
+namespace sycamoreford::bench {
+namespace {
+
+/// Processor time of this process, in microseconds.
+double ProcessorMicros() {
+  timespec spent{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
+  return static_cast<double>(spent.tv_sec) * 1e6 +
+         static_cast<double>(spent.tv_nsec) / 1e3;
+}
+
+template <class Work>
+Series Measure(int repeats, int batch, const Work& work) {
+  Series series;
+  for (int i = 0; i < repeats; ++i) {
+    const double begun = ProcessorMicros();
+    for (int j = 0; j < batch; ++j) {
+      work(i * batch + j);
+    }
+    series.Add((ProcessorMicros() - begun) / batch);
+  }
+  return series;
+}
+
+v1::Pool MakePool(int replicas, int stages, std::uint32_t layers) {
+  v1::Pool pool;
+  for (int i = 0; i < replicas * stages; ++i) {
+    const auto stage = static_cast<std::uint32_t>(i % stages);
+    v1::Endpoint* endpoint = pool.add_endpoints();
+    endpoint->set_name("replica-" + std::to_string(i));
+    endpoint->set_address("10.0.0.1:" + std::to_string(1000 + i));
+    endpoint->set_first_layer(stage * layers / stages);
+    endpoint->set_end_layer((stage + 1) * layers / stages);
+    endpoint->set_tokens_per_second(1'000 + i % 7 * 100);
+  }
+  return pool;
+}
+
+void MeasurePlanner(int repeats) {
+  constexpr int kStages = 4;
+  v1::ModelVersion version;
+  version.set_layers(48);
+  for (const int replicas : {30, 150, 600}) {
+    const v1::Pool pool = MakePool(replicas, kStages, version.layers());
+    for (const std::uint32_t daemons : {9U, 390U}) {
+      const FleetView fleet{1, daemons};
+      const PoolPlan plan = PoolPlan::Compute(pool, version, fleet);
+      EndpointTable table;
+      std::set<EndpointId> ids;
+      for (const v1::Endpoint& endpoint : pool.endpoints()) {
+        ids.emplace(endpoint.name());
+      }
+      table.Keep(ids, SteadyClock().Now());
+      const Series chain = Measure(repeats, 200, [&](int i) {
+        ChainWish wish{.random = static_cast<std::uint64_t>(i),
+                       .prefix = static_cast<std::uint64_t>(i % 10),
+                       .choices = 2,
+                       .daemons = daemons};
+        const auto loads = table.Snapshot(SteadyClock().Now());
+        (void)PlanChain(plan, loads, wish);
+      });
+      const Series whole = Measure(repeats, 5, [&](int) {
+        (void)PoolPlan::Compute(pool, version, fleet);
+      });
+      std::printf(
+          "capacity replicas=%d daemons=%u endpoints_used=%zu chain_us=%s "
+          "plan_us=%s\n",
+          replicas, daemons, plan.steps().size(), chain.Text().c_str(),
+          whole.Text().c_str());
+    }
+  }
+}
+
+void MeasureAdmission(int repeats) {
+  for (const int customers : {10, 200, 880}) {
+    const auto offer = [&](Admission& admission, int i, TimePoint now) {
+      AdmissionRequest request;
+      request.pool = "pool";
+      request.places = 64;
+      request.most_places = 64;
+      request.first_places = 64;
+      request.customer =
+          CustomerId("customer-" + std::to_string(i % customers));
+      request.terms.max_wait = std::chrono::seconds(100);
+      request.terms.max_per_second = 1e6;
+      request.deadline = now + std::chrono::seconds(100);
+      return admission.Offer(request, now);
+    };
+    const TimePoint now = SteadyClock().Now();
+    const std::size_t before = mallinfo2().uordblks;
+    Admission admission(1);
+    for (int i = 0; i < customers; ++i) {
+      (void)offer(admission, i, now);
+    }
+    const std::size_t grown = mallinfo2().uordblks - before;
+    // All customers wait: each round one request comes and one ends.
+    std::vector<AdmissionId> running;
+    for (const auto& decision : admission.Advance(now)) {
+      running.push_back(decision.id);
+    }
+    const Series round = Measure(repeats, 200, [&](int i) {
+      (void)offer(admission, i, now);
+      const auto slot = static_cast<std::size_t>(i) % running.size();
+      admission.End(running[slot], AdmissionEnd::kServed, now);
+      running[slot] = admission.Advance(now).front().id;
+    });
+    std::printf("capacity customers=%d admission_bytes=%.0f round_us=%s\n",
+                customers, static_cast<double>(grown) / customers,
+                round.Text().c_str());
+  }
+}
+
+void MeasureKeys(int repeats) {
+  for (const int customers : {10, 200, 880}) {
+    v1::Change change;
+    change.set_revision(1);
+    const auto add = [&](v1::Kind kind, const std::string& name) {
+      v1::Edit* edit = change.add_edits();
+      edit->set_verb(v1::Edit::VERB_CREATE);
+      edit->set_kind(kind);
+      edit->mutable_resource()->set_name(name);
+      return edit->mutable_resource();
+    };
+    add(v1::KIND_PRIORITY, "usual")->mutable_priority();
+    for (int i = 0; i < customers; ++i) {
+      const std::string name = "customer-" + std::to_string(i);
+      v1::Customer* customer = add(v1::KIND_CUSTOMER, name)->mutable_customer();
+      customer->set_priority("usual");
+      customer->set_key_salt("salt");
+      customer->set_key_sha256(HashSecret("salt", name));
+    }
+    const auto config =
+        std::make_shared<const Configuration>(*Configuration().Apply(change));
+    CustomerKeys keys;
+    const std::string known = "customer-" + std::to_string(customers / 2);
+    const Series hinted =
+        Measure(repeats, 200, [&](int) { (void)keys.Find(config, known); });
+    const Series again = Measure(
+        repeats, 200, [&](int) { (void)keys.Find(config, "repeated"); });
+    const Series wrong = Measure(repeats, 50, [&](int i) {
+      (void)keys.Find(config, "wrong-" + std::to_string(i));
+    });
+    const Series scan = Measure(
+        repeats, 50, [&](int) { (void)config->FindCustomerByKey(known); });
+    std::printf(
+        "capacity customers=%d known_key_us=%s wrong_key_us=%s "
+        "repeated_wrong_us=%s scan_us=%s\n",
+        customers, hinted.Text().c_str(), wrong.Text().c_str(),
+        again.Text().c_str(), scan.Text().c_str());
+  }
+}
+
+}  // namespace
+}  // namespace sycamoreford::bench
+
+int main(int count, char** arguments) {
+  const int repeats = count > 1 ? std::atoi(arguments[1]) : 5;
+  sycamoreford::bench::MeasurePlanner(repeats);
+  sycamoreford::bench::MeasureAdmission(repeats);
+  sycamoreford::bench::MeasureKeys(repeats);
+}
--- /dev/null
+++ b/bench/support/series.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace sycamoreford::bench {
+
+/// Figures of several runs.
+class Series {
+ public:
+  void Add(double value) { values_.push_back(value); }
+
+  [[nodiscard]] bool empty() const { return values_.empty(); }
+  [[nodiscard]] std::size_t size() const { return values_.size(); }
+
+  [[nodiscard]] double Mean() const {
+    double sum = 0;
+    for (const double value : values_) {
+      sum += value;
+    }
+    return values_.empty() ? 0 : sum / static_cast<double>(values_.size());
+  }
+
+  /// The value below which a part of the values lies.
+  [[nodiscard]] double Quantile(double part) const {
+    if (values_.empty()) {
+      return 0;
+    }
+    std::vector<double> sorted = values_;
+    std::sort(sorted.begin(), sorted.end());
+    const auto last = static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(part * last + 0.5)];
+  }
+
+  /// Mean with least and greatest, as text.
+  [[nodiscard]] std::string Text() const {
+    char text[96];
+    std::snprintf(text, sizeof(text), "%.3f [%.3f..%.3f]", Mean(), Quantile(0),
+                  Quantile(1));
+    return text;
+  }
+
+ private:
+  std::vector<double> values_;
+};
+
+}  // namespace sycamoreford::bench
--- a/include/sycamoreford/adapters/admission_gate.h
+++ b/include/sycamoreford/adapters/admission_gate.h
@@ -24,6 +24,9 @@
   AdmissionTicket(AdmissionTicket&& other) noexcept;
   AdmissionTicket& operator=(AdmissionTicket&&) = delete;
 
+  /// Notes the work that was done; 1 unless it is set.
+  void set_units(std::uint32_t units) noexcept { units_ = units; }
+
   /// Notes that endpoints had no place for the request.
   void set_refused() noexcept { how_ = AdmissionEnd::kRefused; }
 
@@ -31,6 +34,7 @@
   AdmissionGate* gate_;
   AdmissionId id_;
   AdmissionEnd how_ = AdmissionEnd::kServed;
+  std::uint32_t units_ = 1;
 };
 
 /// Lets requests wait for the decisions of an `Admission`.
@@ -55,7 +59,7 @@
   friend class AdmissionTicket;
   struct Waiter;
 
-  void End(AdmissionId id, AdmissionEnd how);
+  void End(AdmissionId id, AdmissionEnd how, std::uint32_t units);
   /// Hands out decisions. Precondition: the lock is held.
   void Advance();
 
--- a/include/sycamoreford/adapters/entry_policy.h
+++ b/include/sycamoreford/adapters/entry_policy.h
@@ -58,7 +58,9 @@
   std::shared_ptr<const PlanSet> Plans(const ConfigurationPtr& config);
   [[nodiscard]] AdmissionRequest ToAdmission(const CallerRequest& caller,
                                              const std::string& pool,
-                                             double concurrency) const;
+                                             double concurrency,
+                                             double bound,
+                                             double unit_seconds) const;
 
   EndpointTable& endpoints_;
   SteadyClock clock_;
--- a/include/sycamoreford/admission/admission.h
+++ b/include/sycamoreford/admission/admission.h
@@ -57,7 +57,12 @@
                                           TimePoint now);
 
   /// Ends a request, waiting or running. Unknown identities are ignored.
-  void End(AdmissionId id, AdmissionEnd how, TimePoint now);
+  ///
+  /// \param units work that was done, for example tokens.
+  void End(AdmissionId id,
+           AdmissionEnd how,
+           TimePoint now,
+           std::uint32_t units = 1);
 
   /// Decides on waiting requests; call after `Offer`, after `End` and when
   /// the wait of a request is over.
--- a/include/sycamoreford/admission/admission_request.h
+++ b/include/sycamoreford/admission/admission_request.h
@@ -32,6 +32,12 @@
   /// Most that this daemon may try to run there while others leave room; not
   /// below `places`.
   std::uint32_t most_places = 1;
+  /// Places to begin with, before it is known what the pool takes; positive,
+  /// not above `places`.
+  std::uint32_t first_places = 1;
+  /// Declared time of one unit of work, for example a token, without load, in
+  /// seconds; 0 when it is not known.
+  double unit_seconds = 0;
   CustomerId customer;
   CustomerTerms terms;
   TimePoint deadline{};
--- a/include/sycamoreford/admission/concurrency_limit.h
+++ b/include/sycamoreford/admission/concurrency_limit.h
@@ -8,28 +8,51 @@
 
 /// Number of requests that a daemon runs in a pool at once.
 ///
-/// It lies between the daemon's even part of the pool and an upper bound: it
-/// rises slowly while requests wait and endpoints take them, and falls by a
-/// tenth when they refuse, so that daemons that get more than their part of the
-/// traffic may use what others leave. Not thread safe.
+/// While requests wait it rises, up to a bound above the daemon's even part of
+/// the pool, for as long as a unit of work takes little longer than it does
+/// without load: by one for each request served until units first take longer,
+/// then slowly. It falls by a tenth to a half, down to a quarter of the part,
+/// when units take much longer than without load or endpoints refuse. So it
+/// stays near what keeps all stages busy, whatever their slots. Not thread
+/// safe.
 class ConcurrencyLimit {
  public:
-  /// Takes over the daemon's even part and the bound; a change starts anew.
-  void SetPlaces(std::uint32_t places, std::uint32_t most) noexcept;
-
-  /// A request was served. \param has_waiting whether others wait.
-  void OnServed(bool has_waiting) noexcept;
-
-  /// Endpoints had no place. \param holding usual time that a place is held;
-  /// refusals within it count once.
-  void OnRefused(TimePoint now, Duration holding) noexcept;
+  /// Takes over the value to start with, the daemon's even part, the upper
+  /// bound, and the declared time of a unit without load, in seconds, or 0
+  /// when it is not known. A change of part or bound starts anew.
+  void Configure(std::uint32_t first,
+                 std::uint32_t places,
+                 std::uint32_t most,
+                 double unit_seconds) noexcept;
+
+  /// A request was served.
+  ///
+  /// \param has_waiting whether others wait.
+  /// \param unit_seconds time that one unit of its work took; positive.
+  /// \param holding usual time that a place is held; it falls at most once in
+  ///     this time.
+  void OnServed(bool has_waiting,
+                double unit_seconds,
+                Duration holding,
+                TimePoint now) noexcept;
+
+  /// Endpoints had no place.
+  void OnRefused(Duration holding, TimePoint now) noexcept;
 
   [[nodiscard]] std::uint32_t value() const noexcept;
 
  private:
+  [[nodiscard]] double UnloadedSeconds() const noexcept;
+  void Fall(double factor, Duration holding, TimePoint now) noexcept;
+
   std::uint32_t places_ = 0;
   std::uint32_t most_ = 0;
+  double declared_ = 0;
   double limit_ = 0;
+  bool is_starting_ = true;
+  /// Smoothed time of a unit, and the least that it was, in seconds.
+  double unit_ = 0;
+  double least_ = 0;
   TimePoint fell_at_{};
 };
 
--- a/include/sycamoreford/admission/customer_keys.h
+++ b/include/sycamoreford/admission/customer_keys.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "sycamoreford/config/configuration.h"
@@ -14,9 +15,10 @@
 
 /// Recognizes customers by API key.
 ///
-/// A key that was recognized before costs one SHA-256; a key that is not known
-/// costs one for each customer. What is remembered are keyed hashes of API
-/// keys, as hints which are always verified, and bounded in number.
+/// A key that was recognized before costs one SHA-256; a key that comes for
+/// the first time costs one for each customer; a key that was refused before
+/// costs none. What is remembered are keyed hashes of API keys, bounded in
+/// number; a remembered customer is always verified.
 ///
 /// Thread safe. Its own lock is held only to read or write hints.
 class CustomerKeys {
@@ -49,6 +51,8 @@
   std::shared_ptr<const Index> index_;
   /// Position in the index's entries, by keyed hash of API key.
   std::unordered_map<std::uint64_t, std::size_t> hints_;
+  /// Keyed hashes of API keys that no customer has.
+  std::unordered_set<std::uint64_t> refused_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/route/pool_plan.h
+++ b/include/sycamoreford/route/pool_plan.h
@@ -54,6 +54,9 @@
   /// Most tokens each second that the whole pool can generate.
   [[nodiscard]] double bound() const noexcept { return bound_; }
 
+  /// Mean time of a token without load, along the greatest flow, in seconds.
+  [[nodiscard]] double token_seconds() const noexcept { return token_seconds_; }
+
   /// Most requests that the whole pool can run at once.
   [[nodiscard]] double concurrency() const noexcept { return concurrency_; }
 
@@ -61,6 +64,7 @@
   std::uint32_t layers_ = 0;
   double bound_ = 0;
   double concurrency_ = 0;
+  double token_seconds_ = 0;
   std::vector<PlanStep> steps_;
 };
 
--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -77,6 +77,7 @@
   boost::asio::awaitable<Result<std::string>> Run(const AnswerOrder& order,
                                                   Sink& sink) {
     AnswerProgress progress(order.request);
+    tokens_ = 0;
     std::set<EndpointId> avoid;
     bool may_have_run = false;
     Failure last{.code = Errc::kNoEndpoint, .where = "chain"};
@@ -118,6 +119,9 @@
   /// Number of attempts that the last run took.
   [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
 
+  /// Number of tokens that the last run delivered.
+  [[nodiscard]] std::uint32_t tokens() const noexcept { return tokens_; }
+
  private:
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
 
@@ -194,6 +198,7 @@
           if (progress.delivered().size() == before + 1) {
             first_token = clock_.Now();
           }
+          ++tokens_;
           co_await sink.OnToken(progress.delivered().back());
           break;
         case ProgressAction::kDrop:
@@ -241,6 +246,7 @@
   const TheClock& clock_;
   AnswerLimits limits_;
   std::uint32_t attempts_ = 0;
+  std::uint32_t tokens_ = 0;
 };
 
 }  // namespace sycamoreford
--- a/src/adapters/admission_gate.cc
+++ b/src/adapters/admission_gate.cc
@@ -25,11 +25,12 @@
 AdmissionTicket::AdmissionTicket(AdmissionTicket&& other) noexcept
     : gate_(std::exchange(other.gate_, nullptr)),
       id_(other.id_),
-      how_(other.how_) {}
+      how_(other.how_),
+      units_(other.units_) {}
 
 AdmissionTicket::~AdmissionTicket() {
   if (gate_ != nullptr) {
-    gate_->End(id_, how_);
+    gate_->End(id_, how_, units_);
   }
 }
 
@@ -84,10 +85,10 @@
   }
 }
 
-void AdmissionGate::End(AdmissionId id, AdmissionEnd how) {
+void AdmissionGate::End(AdmissionId id, AdmissionEnd how, std::uint32_t units) {
   const std::lock_guard lock(mutex_);
   waiters_.erase(id);
-  admission_.End(id, how, clock_.Now());
+  admission_.End(id, how, clock_.Now(), units);
   Advance();
 }
 
--- a/src/adapters/chat_handler.cc
+++ b/src/adapters/chat_handler.cc
@@ -246,6 +246,7 @@
       .With("request", caller.id.value())
       .With("customer", caller.customer.value())
       .With("attempts", driver.attempts());
+  ticket->set_units(driver.tokens());
   if (!ended) {
     if (ended.error().code == Errc::kEndpointRefused) {
       ticket->set_refused();
--- a/src/adapters/entry_policy.cc
+++ b/src/adapters/entry_policy.cc
@@ -19,6 +19,8 @@
 constexpr std::uint32_t kChoices = 2;
 /// A daemon may try to use this many times its part of the places.
 constexpr std::uint32_t kOverPart = 2;
+/// Requests at each busy stage that admission starts with.
+constexpr double kStartDepth = 3;
 constexpr std::uint32_t kDefaultSlots = 16;
 constexpr std::chrono::milliseconds kDefaultWait{2'000};
 /// Bytes of a prompt that decide where it finds a cached prefix.
@@ -72,7 +74,9 @@
 
 AdmissionRequest EntryPolicy::ToAdmission(const CallerRequest& caller,
                                           const std::string& pool,
-                                          double concurrency) const {
+                                          double concurrency,
+                                          double bound,
+                                          double unit_seconds) const {
   const FleetView live = fleet();
   const v1::Customer& customer =
       caller.config->Find(v1::KIND_CUSTOMER, caller.customer.value())
@@ -86,6 +90,13 @@
   request.places = std::max(request.places, 1U);
   request.most_places =
       live.count > 1 ? kOverPart * request.places : request.places;
+  // What keeps all stages busy, with some waiting at each.
+  const double busy = kStartDepth * bound * unit_seconds / live.count;
+  request.first_places =
+      bound > 0 ? std::clamp(static_cast<std::uint32_t>(std::ceil(busy)), 1U,
+                             request.places)
+                : request.places;
+  request.unit_seconds = unit_seconds;
   request.customer = caller.customer;
   request.deadline = caller.deadline;
   CustomerTerms& terms = request.terms;
@@ -121,7 +132,8 @@
   retries_.OnRequest(caller.customer, clock_.Now());
   const v1::Resource* found = caller.config->Find(v1::KIND_ROUTE, route);
   const AdmissionRequest request =
-      ToAdmission(caller, found->route().pool(), order.plan->concurrency());
+      ToAdmission(caller, found->route().pool(), order.plan->concurrency(),
+                  order.plan->bound(), order.plan->token_seconds());
   co_return co_await gate_.Enter(request);
 }
 
@@ -135,7 +147,7 @@
     slots += endpoint.slots() > 0 ? endpoint.slots() : kDefaultSlots;
   }
   retries_.OnRequest(caller.customer, clock_.Now());
-  const AdmissionRequest request = ToAdmission(caller, pool, slots);
+  const AdmissionRequest request = ToAdmission(caller, pool, slots, 0, 0);
   co_return co_await gate_.Enter(request);
 }
 
--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -86,7 +86,9 @@
   // Places come free one after another, evenly over the usual holding time.
   const double wait = places == 0 ? 0 : (ahead + 1) * pool.holding / places;
   const auto expected = std::chrono::duration_cast<Duration>(Seconds(wait));
-  if (now + expected >= request.deadline) {
+  const auto served =
+      std::chrono::duration_cast<Duration>(Seconds(wait + pool.holding));
+  if (now + served >= request.deadline) {
     return Failure{.code = Errc::kDeadlineExceeded,
                    .where = "queue",
                    .retry_after = Spread(wait)};
@@ -108,7 +110,8 @@
   }
   Pool& pool = pools_[request.pool];
   pool.used_at = now;
-  pool.limit.SetPlaces(request.places, request.most_places);
+  pool.limit.Configure(request.first_places, request.places,
+                       request.most_places, request.unit_seconds);
   if (auto refusal = CheckLimits(request, now)) {
     return *refusal;
   }
@@ -157,7 +160,10 @@
   requests_.erase(id);
 }
 
-void Admission::End(AdmissionId id, AdmissionEnd how, TimePoint now) {
+void Admission::End(AdmissionId id,
+                    AdmissionEnd how,
+                    TimePoint now,
+                    std::uint32_t units) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) {
     return;
@@ -171,17 +177,20 @@
   const double held = Seconds(now - request.started).count();
   Line& line = pool.ranks[request.rank].lines[request.customer];
   line.next_start += (held - request.charged) / line.weight;
+  const auto holding =
+      std::chrono::duration_cast<Duration>(Seconds(pool.holding));
   switch (how) {
     case AdmissionEnd::kServed:
       pool.holding =
           pool.holding == 0
               ? held
               : pool.holding + kHoldingWeight * (held - pool.holding);
-      pool.limit.OnServed(pool.waiting > 0);
+      if (units > 0 && held > 0) {
+        pool.limit.OnServed(pool.waiting > 0, held / units, holding, now);
+      }
       return;
     case AdmissionEnd::kRefused:
-      pool.limit.OnRefused(
-          now, std::chrono::duration_cast<Duration>(Seconds(pool.holding)));
+      pool.limit.OnRefused(holding, now);
       return;
   }
 }
--- a/src/admission/customer_keys.cc
+++ b/src/admission/customer_keys.cc
@@ -52,6 +52,7 @@
   if (index_ == nullptr || index_->config->revision() <= config->revision()) {
     index_ = index;
     hints_.clear();
+    refused_.clear();
   }
   return index;
 }
@@ -67,6 +68,8 @@
     const auto found = hints_.find(hash);
     if (index_ == index && found != hints_.end()) {
       hint = found->second;
+    } else if (index_ == index && refused_.contains(hash)) {
+      return nullptr;
     }
   }
   if (hint && Matches(index->entries[*hint], api_key)) {
@@ -79,10 +82,16 @@
       match = i;
     }
   }
+  const std::lock_guard lock(mutex_);
   if (!match) {
+    if (index_ == index) {
+      if (refused_.size() >= kMostHints) {
+        refused_.clear();
+      }
+      refused_.insert(hash);
+    }
     return nullptr;
   }
-  const std::lock_guard lock(mutex_);
   if (index_ == index && hints_.size() < kMostHints) {
     hints_[hash] = *match;
   }
--- a/src/route/pool_plan.cc
+++ b/src/route/pool_plan.cc
@@ -76,6 +76,7 @@
       ToArcs(classes, [](const PlanStep& step) { return step.rate; });
   plan.bound_ = SolveMaxFlow(arcs, plan.layers_);
   auto arc = arcs.begin();
+  double busy = 0;
   for (const auto& [layers, steps] : classes) {
     const auto count = static_cast<std::uint32_t>(steps.size());
     const std::uint64_t seed =
@@ -87,8 +88,13 @@
       step.weight = step.rate * share;
       plan.steps_.push_back(std::move(step));
     }
+    for (const PlanStep& step : steps) {
+      const double flow = arc->flow * step.rate / arc->capacity;
+      busy += flow * (1 / step.rate + step.link_seconds);
+    }
     ++arc;
   }
+  plan.token_seconds_ = plan.bound_ > 0 ? busy / plan.bound_ : 0;
   return plan;
 }
 
