--- a/include/sycamoreford/stream/stage_suspects.h
+++ b/include/sycamoreford/stream/stage_suspects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <concepts>
 #include <map>
 #include <set>
 #include <vector>
@@ -10,6 +11,13 @@
 
 namespace sycamoreford {
 
+/// Plans a chain that uses none of the endpoints it is given.
+template <class T>
+concept ChainSource = requires(const T& plan,
+                               const std::set<EndpointId>& avoid) {
+  { plan(avoid) } -> std::same_as<Result<Chain>>;
+};
+
 /// The stages that the next attempts at one answer had better avoid.
 ///
 /// A failure that names a stage condemns that one; silence condemns none, but
@@ -34,27 +42,29 @@
   }
 
   /// Plans a chain with no suspect, or with one doubted stage at most.
-  template <LoadSource Loads>
+  ///
+  /// \param plan plans a chain over `pool` without the endpoints it is given.
+  template <ChainSource Source>
   [[nodiscard]] Result<Chain> PlanClear(const v1::Pool& pool,
-                                        const v1::ModelVersion& version,
-                                        const Loads& loads) const {
+                                        const Source& plan) const {
     std::set<EndpointId> avoid = Named(pool);
     avoid.insert(doubted_.begin(), doubted_.end());
-    auto chain = PlanChain(pool, version, loads, avoid);
+    auto chain = plan(avoid);
     for (auto at = doubted_.begin(); !chain && at != doubted_.end(); ++at) {
       std::set<EndpointId> fewer = avoid;
       fewer.erase(*at);
-      chain = PlanChain(pool, version, loads, fewer);
+      chain = plan(fewer);
     }
     return chain;
   }
 
   /// Plans a chain with as few suspects as can be, the oldest first.
-  template <LoadSource Loads>
+  ///
+  /// \param plan as for `PlanClear`.
+  template <ChainSource Source>
   [[nodiscard]] Result<Chain> Plan(const v1::Pool& pool,
-                                   const v1::ModelVersion& version,
-                                   const Loads& loads) const {
-    auto chain = PlanClear(pool, version, loads);
+                                   const Source& plan) const {
+    auto chain = PlanClear(pool, plan);
     std::set<EndpointId> avoid = Named(pool);
     avoid.insert(doubted_.begin(), doubted_.end());
     const std::set<EndpointId> named = Named(pool);
@@ -62,10 +72,10 @@
       if (!named.contains(*at)) {
         avoid.erase(*at);
       }
-      chain = PlanChain(pool, version, loads, avoid);
+      chain = plan(avoid);
     }
     if (!chain && !avoid.empty()) {
-      chain = PlanChain(pool, version, loads, {});
+      chain = plan({});
     }
     return chain;
   }
