--- a/bench/recovery_bench.cc
+++ b/bench/recovery_bench.cc
@@ -55,7 +55,7 @@
     context_.stop();
     thread_.join();
   }
-  void Post(std::function<void(FakeStage&)> change) {
+  void Post(const std::function<void(FakeStage&)>& change) {
     asio::post(context_, [this, change] { change(*stage_); });
   }
   [[nodiscard]] const std::string& address() const { return address_; }
--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -175,21 +175,21 @@
     co_return state.cancelled() != boost::asio::cancellation_type::none;
   }
 
-  /// The pool for the next attempt; later ones see ranges that have changed.
-  static v1::Pool PoolOf(const AnswerOrder& order,
-                         const AnswerProgress& progress) {
-    std::optional<v1::Pool> current;
+  /// The pool as of now; nothing when the order's own still holds.
+  static std::optional<v1::Pool> CurrentPool(const AnswerOrder& order,
+                                             const AnswerProgress& progress) {
     if (progress.attempt().value() > 0 && order.current_pool) {
-      current = order.current_pool();
+      return order.current_pool();
     }
-    return current ? *current : order.pool;
+    return std::nullopt;
   }
 
   /// A stream that has begun rather tries suspected stages than ends.
   Result<Chain> NextChain(const AnswerOrder& order,
                           const AnswerProgress& progress,
                           const StageSuspects& suspects) const {
-    const v1::Pool pool = PoolOf(order, progress);
+    const std::optional<v1::Pool> current = CurrentPool(order, progress);
+    const v1::Pool& pool = current ? *current : order.pool;
     const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
     auto chain = suspects.Plan(pool, order.version, loads);
     if (!chain && !progress.delivered().empty()) {
@@ -296,11 +296,11 @@
     }
     StageSuspects suspects = tracking.suspects;
     suspects.AddChain(chain);
+    const auto current = CurrentPool(order, tracking.progress);
+    const v1::Pool& pool = current ? *current : order.pool;
+    const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
     const bool moves =
-        suspects
-            .PlanClear(PoolOf(order, tracking.progress), order.version,
-                       endpoints_.Snapshot(clock_.Now()))
-            .has_value();
+        suspects.PlanClear(pool, order.version, loads).has_value();
     tracking.pace.OnSlowSeen(moves);
     return moves;
   }
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -98,7 +98,7 @@
   if (error) {
     co_return ConnectFailure(address);
   }
-  stream.socket().set_option(asio::ip::tcp::no_delay(true));
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
   const auto message = ToMessage(address, request);
   stream.expires_at(bound);
   co_await http::async_write(stream, message, token);
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -205,7 +205,7 @@
 /// Runs the handler. An exception must not leave it: the wait for the caller's
 /// end, which runs beside it, would then have to end first.
 template <class State>
-asio::awaitable<void> RunHandler(std::shared_ptr<State> state,
+asio::awaitable<void> RunHandler(const std::shared_ptr<State>& state,
                                  BeastExchange& exchange) {
   try {
     co_await state->handler(exchange);
@@ -216,7 +216,7 @@
 }
 
 template <class State>
-asio::awaitable<void> Handle(std::shared_ptr<State> state,
+asio::awaitable<void> Handle(const std::shared_ptr<State>& state,
                              beast::tcp_stream& stream,
                              BeastExchange& exchange) {
   using namespace asio::experimental::awaitable_operators;  // NOLINT
@@ -277,7 +277,8 @@
 asio::awaitable<void> Serve(std::shared_ptr<State> state,
                             beast::tcp_stream stream) {
   ++state->connections;
-  stream.socket().set_option(tcp::no_delay(true));
+  beast::error_code ignored;
+  stream.socket().set_option(tcp::no_delay(true), ignored);
   beast::flat_buffer buffer;
   try {
     bool open = state->connections <= state->limits.connections;
@@ -297,7 +298,6 @@
   } catch (const std::exception& error) {
     LogEvent(Severity::kDebug, "connection_ended").With("reason", error.what());
   }
-  beast::error_code ignored;
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   --state->connections;
 }
--- a/tests/answer_driver_test.cc
+++ b/tests/answer_driver_test.cc
@@ -104,7 +104,7 @@
         [&](const auto& step) { return std::get<0>(step.first) == id; });
   }
 
-  /// The oracle; empty when all holds.
+  /// The oracle: what does not hold.
   [[nodiscard]] std::string Broken() const {
     for (const auto& [step, count] : engine.ran) {
       if (count != 1) {
@@ -132,7 +132,7 @@
         return "said not run, but it ran";
       }
     }
-    return ends == engine.ends ? "" : "whole without an end marker";
+    return ends == engine.ends ? "nothing" : "whole without an end marker";
   }
 
   [[nodiscard]] bool IsWhole(std::size_t index) const {
@@ -158,7 +158,7 @@
       world.engine.faults[call] = fault;
       world.Run(1);
       INFO("fault " << static_cast<int>(fault) << " at call " << call);
-      REQUIRE(world.Broken() == "");
+      REQUIRE(world.Broken() == "nothing");
       REQUIRE(world.IsWhole(0));
     }
   }
@@ -182,7 +182,7 @@
     world.limits.attempts = *rc::gen::inRange<std::uint32_t>(1, 8);
     const auto customers = *rc::gen::inRange<std::size_t>(1, 4);
     world.Run(customers);
-    RC_ASSERT(world.Broken() == "");
+    RC_ASSERT(world.Broken() == "nothing");
     if (customers == 1) {
       RC_ASSERT(world.clock.now <= world.order.deadline);
     }
@@ -242,7 +242,7 @@
     world.engine.faults[call + 1] = EngineFault::kGarbage;
   }
   world.Run();
-  REQUIRE(world.Broken() == "");
+  REQUIRE(world.Broken() == "nothing");
   REQUIRE(world.IsWhole(0));
 }
 
@@ -278,7 +278,7 @@
   };
   SECTION("another chain is there") {
     slowed.Run();
-    REQUIRE(slowed.Broken() == "");
+    REQUIRE(slowed.Broken() == "nothing");
     REQUIRE(slowed.IsWhole(0));
     REQUIRE(slowed.engine.opened.size() == 2);
     // Within 2 s, and without a verdict that takes it out of service.
@@ -312,7 +312,7 @@
   changed.mutable_endpoints(3)->set_first_layer(8);
   world.order.current_pool = [&] { return changed; };
   world.Run();
-  REQUIRE(world.Broken() == "");
+  REQUIRE(world.Broken() == "nothing");
   REQUIRE(world.IsWhole(0));
   REQUIRE(world.engine.opened[1].chain[3].layers == LayerRange{8, 12});
 }
--- a/tests/engine_client_test.cc
+++ b/tests/engine_client_test.cc
@@ -96,7 +96,7 @@
 
 Failure Ask(RawEngine::Options options) {
   const RawEngine engine(std::move(options));
-  const Failure failure =
+  Failure failure =
       support::Run(FailureOf(engine.address(), milliseconds(300)));
   REQUIRE(failure.where == engine.address());
   return failure;
--- a/tests/stage_failure_test.cc
+++ b/tests/stage_failure_test.cc
@@ -151,7 +151,7 @@
   INFO(refused->body << stand.daemon(0).Output());
   REQUIRE(refused->status == 503);
   REQUIRE(refused->body.find(R"("outcome":"not_run")") != std::string::npos);
-  REQUIRE(refused->fields.Get("retry-after") != "");
+  REQUIRE_FALSE(refused->fields.Get("retry-after").empty());
 }
 
 TEST_CASE("a refusal of all is not run, and the engines ran nothing") {
