--- a/tests/config_property_test.cc
+++ b/tests/config_property_test.cc
@@ -134,6 +134,11 @@
   kQuiet,
 };
 
+/// Shows an operation in a shrunk case, by its place in the enum.
+void showValue(Op op, std::ostream& out) {
+  out << "op " << static_cast<int>(op);
+}
+
 /// Steps, those more often that lead to daemons without the table.
 rc::Gen<Op> AnyOp() {
   return rc::gen::weightedElement<Op>({{4, Op::kAdvance},
@@ -231,6 +236,7 @@
     for (std::size_t i = 0; i < size(); ++i) {
       network_.daemons()[i].is_paused = false;
       Do(Op::kJoin, static_cast<std::uint32_t>(i));
+      network_.daemons()[i].table->EndPlan();
       network_.daemons()[i].table->ReleaseLate();
     }
     network_.Advance(kBound);
--- a/tests/fakes/faulty_table.h
+++ b/tests/fakes/faulty_table.h
@@ -34,6 +34,9 @@
   /// Makes all calls from now on go wrong; `kNone` ends it.
   void SetMode(TableFault fault) { mode_ = fault; }
 
+  /// Ends all planned faults.
+  void EndPlan() { plan_.clear(); }
+
   /// Lets the commits that were held back take effect now.
   void ReleaseLate() {
     for (const TableTransaction& transaction : late_) {
