--- a/include/sycamoreford/adapters/config_service.h
+++ b/include/sycamoreford/adapters/config_service.h
@@ -69,7 +69,7 @@
   using Node = ConfigNode<HttpTableClient>;
 
   [[nodiscard]] Node MakeNode(const Settings& settings);
-  void Send(std::vector<PeerOrder> orders);
+  void Send(const std::vector<PeerOrder>& orders);
   void Receive(const v1::PeerMessage& message);
   void Publish(const char* source);
   boost::asio::awaitable<void> PollLoop();
--- a/src/adapters/config_service.cc
+++ b/src/adapters/config_service.cc
@@ -75,9 +75,7 @@
                       WallNow().time_since_epoch().count())};
   NodeHooks hooks;
   hooks.now = [] { return Instant{SteadyClock().Now(), WallNow()}; };
-  hooks.send = [this](std::vector<PeerOrder> orders) {
-    Send(std::move(orders));
-  };
+  hooks.send = [this](const std::vector<PeerOrder>& orders) { Send(orders); };
   hooks.wait = [this](std::chrono::milliseconds time) -> asio::awaitable<void> {
     asio::steady_timer timer(strand_, time);
     co_await timer.async_wait(asio::use_awaitable);
@@ -97,7 +95,7 @@
   asio::co_spawn(strand_, ListLoop(), asio::detached);
 }
 
-void ConfigService::Send(std::vector<PeerOrder> orders) {
+void ConfigService::Send(const std::vector<PeerOrder>& orders) {
   const TimePoint now = SteadyClock().Now();
   for (const PeerOrder& order : orders) {
     auto sent = channel_.Send(order.address, order.message, now);
@@ -174,7 +172,7 @@
     std::vector<PeerOrder> greeting;
     greeting.push_back(
         node_.membership().Greeting(seed, {SteadyClock().Now(), WallNow()}));
-    Send(std::move(greeting));
+    Send(greeting);
   }
   for (;;) {
     node_.Tick(draining_);
