--- a/bench/support/series.h
+++ b/bench/support/series.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <string>
 #include <vector>
@@ -31,7 +32,7 @@
     std::vector<double> sorted = values_;
     std::sort(sorted.begin(), sorted.end());
     const auto last = static_cast<double>(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(part * last + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(part * last))];
   }
 
   /// Mean with least and greatest, as text.
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -430,8 +430,10 @@
       });
     }
   }
+  constexpr int kThreads = 3;
   std::vector<std::jthread> threads;
-  for (int i = 0; i < 3; ++i) {
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] { context.run(); });
   }
   threads.clear();
@@ -475,6 +477,8 @@
     REQUIRE(keys.Find(config, "k0")->name() == "c0");
     REQUIRE(keys.Find(config, "other") == nullptr);
   }
+  REQUIRE(keys.Find(config, "new") == nullptr);
+  REQUIRE(keys.Find(renewed, "new")->name() == "c0");
   REQUIRE(keys.Find(renewed, "k0")->name() == "c1");
   REQUIRE(keys.Find(renewed, "k1") == nullptr);
   REQUIRE(keys.Find(config, "k1")->name() == "c1");
--- a/tests/subset_test.cc
+++ b/tests/subset_test.cc
@@ -29,7 +29,7 @@
   SECTION("many daemons hold few connections each") {
     const std::uint32_t size = SubsetSize(390, 600);
     REQUIRE(size <= 64);
-    REQUIRE(SubsetOf({389, 390}, 600, size, 1).size() <= 2 * size);
+    REQUIRE(SubsetOf({389, 390}, 600, size, 1).size() <= 2UL * size);
   }
 
   SECTION("any number of daemons uses endpoints evenly") {
