--- a/include/sycamoreford/route/endpoint_table.h
+++ b/include/sycamoreford/route/endpoint_table.h
@@ -20,7 +20,8 @@
   kGood,
   /// It failed; it is suspected until a trial succeeds.
   kBad,
-  /// It works but lags behind; it gets less traffic.
+  /// It was in a chain that was slow or silent; it gets less traffic, since it
+  /// may be another's fault.
   kSlow,
 };
 
