Watch leaving endpoints, and stop in named steps without cutting off

Leaving: one view unites the operators' flag, the platform's list, the endpoint's state and its refusals. Each source takes back only its own word, and the time of asking orders answers that come late.

Stop: a state machine with named states replaces the ad hoc drain. Readiness fails first, responses announce the end of their connection, the backlog of the listener is taken over instead of reset, a request on its way over an idle connection is answered, sockets linger so that the last response arrives. A second signal changes nothing. The bound must cover the request timeout. The operators' server closes off the workers, which its calls may need.

The stage stand-in crashed on /fake/fault: a braced initializer beside co_await, the known trap of the compiler.

--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <atomic>
+#include <vector>
 
 #include "sycamoreford/adapters/config_holder.h"
+#include "sycamoreford/adapters/drain_hook.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
+#include "sycamoreford/drain/drain_state.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/settings/settings.h"
 
@@ -22,6 +25,9 @@
   SteadyClock clock;
   /// Set once a planned stop has begun.
   std::atomic<bool> draining{false};
+  std::atomic<DrainState> drain_state{DrainState::kServing};
+  /// Add hooks before the daemon runs.
+  std::vector<DrainHook> drain_hooks;
   std::atomic<std::uint64_t> requests{0};
   std::atomic<std::uint64_t> failures{0};
 };
--- a/include/sycamoreford/adapters/http_limits.h
+++ b/include/sycamoreford/adapters/http_limits.h
@@ -12,8 +12,10 @@
   std::uint32_t header_bytes = 16U * 1024;
   /// Bytes of a body.
   std::uint64_t body_bytes = 1024UL * 1024;
-  /// Time to receive a header, also on an idle kept-alive connection.
-  std::chrono::milliseconds idle_timeout{30'000};
+  /// Time that a connection may wait for its next request.
+  std::chrono::milliseconds idle_timeout{75'000};
+  /// Time to receive a header.
+  std::chrono::milliseconds header_timeout{10'000};
   /// Time to receive a body.
   std::chrono::milliseconds body_timeout{30'000};
   /// Time for one write to leave.
--- a/include/sycamoreford/adapters/http_server.h
+++ b/include/sycamoreford/adapters/http_server.h
@@ -45,7 +45,7 @@
 
 /// An HTTP/1.1 server with kept-alive connections and bounded input.
 ///
-/// Thread safety: `Close` and `CloseIdle` may be called from any thread.
+/// Thread safety: all methods may be called from any thread.
 class HttpServer {
  public:
   /// Binds and starts to accept.
@@ -61,13 +61,24 @@
   /// The bound IP address and port.
   [[nodiscard]] std::string address() const;
 
-  /// Number of exchanges being handled.
+  /// Number of requests that are being received or answered.
   [[nodiscard]] std::size_t active() const noexcept;
 
-  /// Stops accepting and ends kept-alive connections after their present
-  /// exchange.
+  /// Number of connections, and one more while it accepts.
+  [[nodiscard]] std::size_t open() const noexcept;
+
+  /// Ends each kept-alive connection with its next response, and goes on
+  /// accepting.
+  void EndConnections();
+
+  /// Stops accepting. Connections that were made already are served; idle ones
+  /// are closed after a short time in which a request that is on its way is
+  /// still taken.
   void Close();
 
+  /// Cuts off what is still open after `Close`.
+  void CutOff();
+
  private:
   struct State;
   std::shared_ptr<State> state_;
--- a/include/sycamoreford/core/errc.h
+++ b/include/sycamoreford/core/errc.h
@@ -35,6 +35,8 @@
   kBadEndpointAnswer,
   /// The endpoint said that it did not run the request.
   kEndpointRefused,
+  /// The endpoint said that it did not run the request because it is leaving.
+  kEndpointLeaving,
   /// The endpoint said that the request failed.
   kEndpointFailed,
   /// The endpoint's layer range differs from the planned one.
--- a/include/sycamoreford/settings/settings.h
+++ b/include/sycamoreford/settings/settings.h
@@ -43,11 +43,15 @@
     std::uint32_t attempts = 6;
     std::uint32_t default_max_tokens = 256;
     std::chrono::milliseconds request_timeout{120'000};
+    std::chrono::milliseconds idle_timeout{75'000};
+    std::chrono::milliseconds header_timeout{10'000};
+    std::chrono::milliseconds body_timeout{30'000};
+    std::chrono::milliseconds write_timeout{30'000};
     std::chrono::milliseconds connect_timeout{1'000};
     std::chrono::milliseconds first_token_timeout{5'000};
     std::chrono::milliseconds between_tokens_timeout{1'000};
     std::chrono::milliseconds drain_notice{2'000};
-    std::chrono::milliseconds drain_timeout{60'000};
+    std::chrono::milliseconds drain_timeout{130'000};
     std::chrono::milliseconds isolation_grace{10'000};
   } limits;
 
--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -179,6 +179,10 @@
         });
     if (named != chain.end()) {
       avoid.insert(named->endpoint);
+      if (failure.code == Errc::kEndpointLeaving) {
+        endpoints_.SetLeaving(named->endpoint, true);
+        return;
+      }
       endpoints_.Report(named->endpoint, EndpointVerdict::kBad, clock_.Now());
       return;
     }
--- a/src/adapters/caller_error.cc
+++ b/src/adapters/caller_error.cc
@@ -32,6 +32,7 @@
     case Errc::kNoEndpoint:
     case Errc::kConnectionRefused:
     case Errc::kEndpointRefused:
+    case Errc::kEndpointLeaving:
     case Errc::kLayerRangeChanged:
     case Errc::kTableUnavailable:
     case Errc::kTableAnswerLost:
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -8,14 +8,17 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "sycamoreford/adapters/caller_front.h"
 #include "sycamoreford/adapters/config_service.h"
+#include "sycamoreford/adapters/endpoint_watcher.h"
 #include "sycamoreford/adapters/entry_state.h"
 #include "sycamoreford/adapters/http_server.h"
 #include "sycamoreford/adapters/operator_server.h"
 #include "sycamoreford/core/log.h"
+#include "sycamoreford/drain/drain_machine.h"
 
 namespace sycamoreford {
 
@@ -30,6 +33,10 @@
   limits.header_bytes = settings.limits.header_bytes;
   limits.body_bytes = settings.limits.body_bytes;
   limits.connections = settings.limits.connections;
+  limits.idle_timeout = settings.limits.idle_timeout;
+  limits.header_timeout = settings.limits.header_timeout;
+  limits.body_timeout = settings.limits.body_timeout;
+  limits.write_timeout = settings.limits.write_timeout;
   return limits;
 }
 
@@ -42,6 +49,7 @@
                entry.table,
                entry.config,
                entry.settings.table.poll_interval),
+        watcher(context, entry),
         front(entry),
         callers(
             context,
@@ -49,39 +57,121 @@
             LimitsOf(entry.settings),
             [this](HttpExchange& exchange) { return front.Handle(exchange); }),
         operators(entry, config),
-        signals(context, SIGINT, SIGTERM) {}
-
-  asio::awaitable<void> Drain();
+        signals(context, SIGINT, SIGTERM),
+        drain_strand(asio::make_strand(context)),
+        drain({.notice = entry.settings.limits.drain_notice,
+               .finish = entry.settings.limits.drain_timeout}) {}
+
+  void WaitForSignal();
+  void RequestStop();
+  asio::awaitable<void> Drain(DrainAction action);
+  void Perform(DrainAction action);
+  asio::awaitable<void> HandOver();
+  void LogDrain(std::string_view event);
 
   asio::io_context context;
   EntryState entry;
   ConfigService config;
+  EndpointWatcher watcher;
   CallerFront front;
   HttpServer callers;
   OperatorServer operators;
   asio::signal_set signals;
-  std::atomic<bool> finished_all{false};
+  asio::strand<asio::io_context::executor_type> drain_strand;
+  /// Used on `drain_strand` only.
+  DrainMachine drain;
+  std::jthread closer;
 };
 
-asio::awaitable<void> EntryDaemon::State::Drain() {
-  const Settings::Limits& limits = entry.settings.limits;
-  LogEvent(Severity::kInfo, "drain_begun").With("active", callers.active());
-  asio::steady_timer timer(context);
-  // The balancer sees /readyz fail and sends callers elsewhere; those that
-  // still come are served.
-  timer.expires_after(limits.drain_notice);
-  co_await timer.async_wait(asio::use_awaitable);
-  callers.Close();
-  const TimePoint bound = entry.clock.Now() + limits.drain_timeout;
-  while (callers.active() > 0 && entry.clock.Now() < bound) {
+void EntryDaemon::State::WaitForSignal() {
+  signals.async_wait([this](auto error, auto) {
+    if (!error) {
+      RequestStop();
+      WaitForSignal();
+    }
+  });
+}
+
+void EntryDaemon::State::RequestStop() {
+  asio::post(drain_strand, [this] {
+    const DrainAction action = drain.OnStopRequested(entry.clock.Now());
+    if (action == DrainAction::kNone) {
+      LogDrain("drain_asked_again");
+      return;
+    }
+    asio::co_spawn(drain_strand, Drain(action), asio::detached);
+  });
+}
+
+asio::awaitable<void> EntryDaemon::State::Drain(DrainAction action) {
+  asio::steady_timer timer(drain_strand);
+  Perform(action);
+  while (drain.state() != DrainState::kExited) {
     timer.expires_after(kDrainPoll);
     co_await timer.async_wait(asio::use_awaitable);
+    Perform(drain.OnTick(entry.clock.Now(), callers.open()));
+  }
+}
+
+void EntryDaemon::State::Perform(DrainAction action) {
+  switch (action) {
+    case DrainAction::kNone:
+      return;
+    case DrainAction::kAnnounce:
+      entry.draining = true;
+      callers.EndConnections();
+      LogDrain("drain_begun");
+      break;
+    case DrainAction::kCloseListener:
+      callers.Close();
+      LogDrain("drain_finishing");
+      break;
+    case DrainAction::kCutOffAndHandOver:
+      LogEvent(Severity::kError, "drain_cut_off")
+          .With("requests", callers.active())
+          .With("connections", drain.cut_off());
+      callers.CutOff();
+      asio::co_spawn(drain_strand, HandOver(), asio::detached);
+      break;
+    case DrainAction::kHandOver:
+      LogDrain("drain_handing_over");
+      asio::co_spawn(drain_strand, HandOver(), asio::detached);
+      break;
+    case DrainAction::kExit:
+      LogDrain("drain_ended");
+      // Closing blocks until the operators' calls have ended, and these may
+      // need the workers.
+      closer = std::jthread([this] {
+        operators.Close();
+        context.stop();
+      });
+      break;
+  }
+  entry.drain_state = drain.state();
+}
+
+asio::awaitable<void> EntryDaemon::State::HandOver() {
+  for (const DrainHook& hook : entry.drain_hooks) {
+    try {
+      co_await hook.run();
+    } catch (const std::exception& error) {
+      LogEvent(Severity::kError, "drain_hook_failed")
+          .With("hook", hook.name)
+          .With("reason", error.what());
+    }
+  }
+  if (const auto action = drain.OnHandedOver()) {
+    Perform(*action);
+  }
+}
+
+void EntryDaemon::State::LogDrain(std::string_view event) {
+  LogEvent line(Severity::kInfo, event);
+  line.With("state", ToString(drain.state())).With("active", callers.active());
+  if (drain.state() != DrainState::kExited) {
+    line.With("bound_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              drain.bound() - entry.clock.Now()));
   }
-  finished_all = callers.active() == 0;
-  LogEvent(finished_all ? Severity::kInfo : Severity::kError, "drain_ended")
-      .With("cut_off", callers.active());
-  operators.Close();
-  context.stop();
 }
 
 EntryDaemon::EntryDaemon(Settings settings)
@@ -90,19 +180,13 @@
 EntryDaemon::~EntryDaemon() = default;
 
 void EntryDaemon::Stop() {
-  if (state_->entry.draining.exchange(true)) {
-    return;
-  }
-  asio::co_spawn(state_->context, state_->Drain(), asio::detached);
+  state_->RequestStop();
 }
 
 bool EntryDaemon::Run() {
   state_->config.Start();
-  state_->signals.async_wait([this](auto error, auto) {
-    if (!error) {
-      Stop();
-    }
-  });
+  state_->watcher.Start();
+  state_->WaitForSignal();
   LogEvent(Severity::kInfo, "listening")
       .With("name", state_->entry.settings.name)
       .With("callers", state_->callers.address())
@@ -112,7 +196,8 @@
     workers.emplace_back([this] { state_->context.run(); });
   }
   state_->context.run();
-  return state_->finished_all;
+  workers.clear();
+  return state_->drain.cut_off() == 0;
 }
 
 }  // namespace sycamoreford
--- a/src/adapters/http_engine_client.cc
+++ b/src/adapters/http_engine_client.cc
@@ -46,6 +46,9 @@
     failure.code = Errc::kEndpointRefused;
     failure.outcome = Outcome::kNotRun;
   }
+  if (type == "leaving") {
+    failure.code = Errc::kEndpointLeaving;
+  }
   if (type == "layer_range_changed") {
     failure.code = Errc::kLayerRangeChanged;
   }
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,6 +1,10 @@
 #include "sycamoreford/adapters/http_server.h"
 
+#include <array>
 #include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <optional>
 
 #include <boost/asio/co_spawn.hpp>
@@ -34,6 +38,34 @@
   return {};
 }
 
+namespace {
+
+/// One accepted connection. Used on the strand of its socket only.
+struct Connection : std::enable_shared_from_this<Connection> {
+  explicit Connection(tcp::socket socket)
+      : stream(std::move(socket)), timer(stream.get_executor()) {}
+
+  /// Ends the wait for the next request after this time; starts anew when
+  /// called again.
+  void BoundIdle(std::chrono::milliseconds time) {
+    timer.expires_after(time);
+    timer.async_wait([weak = weak_from_this()](beast::error_code error) {
+      const auto self = weak.lock();
+      if (!error && self && self->is_idle) {
+        beast::error_code ignored;
+        self->stream.socket().cancel(ignored);
+      }
+    });
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  asio::steady_timer timer;
+  bool is_idle = false;
+};
+
+}  // namespace
+
 struct HttpServer::State {
   State(asio::io_context& io, const std::string& address)
       : context(io), acceptor(asio::make_strand(io)) {
@@ -50,14 +82,39 @@
   std::string bound;
   HttpLimits limits;
   HttpHandler handler;
+  std::atomic<bool> ending_connections{false};
   std::atomic<bool> closing{false};
+  std::atomic<bool> accepting{true};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> active{0};
+  std::mutex open_mutex;
+  /// Connections that may have ended meanwhile; guarded by `open_mutex`.
+  std::map<const Connection*, std::weak_ptr<Connection>> open;
+
+  /// Runs `action` for each open connection on its strand.
+  void ForEach(void (*action)(Connection&)) {
+    const std::lock_guard lock(open_mutex);
+    for (const auto& [key, weak] : open) {
+      if (auto connection = weak.lock()) {
+        const auto executor = connection->stream.get_executor();
+        asio::post(executor, [action, connection = std::move(connection)] {
+          action(*connection);
+        });
+      }
+    }
+  }
 };
 
 namespace {
 
 constexpr std::chrono::milliseconds kGoneCheckInterval{100};
+/// Time in which a request that is on its way may still arrive on an idle
+/// connection when the server closes.
+constexpr std::chrono::milliseconds kCloseGrace{500};
+/// Time in which the caller may close its side after the last response.
+constexpr std::chrono::milliseconds kLinger{1'000};
+constexpr unsigned kHttp11 = 11;
+constexpr std::chrono::seconds kOverloadRetryAfter{1};
 
 /// An exchange over a Beast stream.
 class BeastExchange final : public HttpExchange {
@@ -65,11 +122,13 @@
   BeastExchange(beast::tcp_stream& stream,
                 HttpRequest request,
                 bool keep_alive,
+                const std::atomic<bool>& ending_connections,
                 unsigned version,
                 std::chrono::milliseconds write_timeout)
       : stream_(stream),
         request_(std::move(request)),
         keep_alive_(keep_alive),
+        ending_connections_(ending_connections),
         version_(version),
         write_timeout_(write_timeout) {}
 
@@ -85,7 +144,12 @@
     message.prepare_payload();
     answered_ = true;
     stream_.expires_after(write_timeout_);
-    co_await http::async_write(stream_, message, use_awaitable);
+    if (request_.method == "HEAD") {
+      http::response_serializer<http::string_body> serializer(message);
+      co_await http::async_write_header(stream_, serializer, use_awaitable);
+    } else {
+      co_await http::async_write(stream_, message, use_awaitable);
+    }
     complete_ = true;
   }
 
@@ -126,12 +190,8 @@
   [[nodiscard]] bool may_continue() const noexcept {
     return complete_ && keep_alive_;
   }
-  /// Ends the connection after this exchange.
-  void EndConnection() noexcept { keep_alive_ = false; }
 
  private:
-  static constexpr unsigned kHttp11 = 11;
-
   template <class Body>
   void SetFields(http::response<Body>& message, const HttpResponse& response) {
     message.set(http::field::server, "sycamoreford");
@@ -139,12 +199,14 @@
     for (const auto& [name, value] : response.fields) {
       message.set(name, value);
     }
+    keep_alive_ = keep_alive_ && !ending_connections_;
     message.keep_alive(keep_alive_);
   }
 
   beast::tcp_stream& stream_;
   HttpRequest request_;
   bool keep_alive_;
+  const std::atomic<bool>& ending_connections_;
   unsigned version_;
   std::chrono::milliseconds write_timeout_;
   bool answered_ = false;
@@ -164,6 +226,14 @@
   return request;
 }
 
+HttpResponse TypedError(unsigned status, Errc code) {
+  HttpResponse response;
+  response.status = status;
+  response.body = R"({"error":{"type":")" + std::string(ToString(code)) +
+                  R"(","outcome":"not_run"}})";
+  return response;
+}
+
 HttpResponse InputError(const beast::error_code& error) {
   unsigned status = 400;
   Errc code = Errc::kMalformed;
@@ -177,11 +247,7 @@
     status = 408;
     code = Errc::kDeadlineExceeded;
   }
-  HttpResponse response;
-  response.status = status;
-  response.body = R"({"error":{"type":")" + std::string(ToString(code)) +
-                  R"(","outcome":"not_run"}})";
-  return response;
+  return TypedError(status, code);
 }
 
 /// Returns when the caller has closed its side.
@@ -207,27 +273,63 @@
                              beast::tcp_stream& stream,
                              BeastExchange& exchange) {
   using namespace asio::experimental::awaitable_operators;  // NOLINT
-  ++state->active;
   try {
     co_await (state->handler(exchange) || WaitUntilGone(stream.socket()));
   } catch (const std::exception& error) {
     LogEvent(Severity::kDebug, "exchange_ended").With("reason", error.what());
   }
-  --state->active;
+}
+
+/// Waits for the first byte of the next request.
+///
+/// \returns whether there is one; no when the connection ended, broke or was
+///     idle for too long.
+template <class State>
+asio::awaitable<bool> WaitForRequest(const std::shared_ptr<State>& state,
+                                     Connection& connection) {
+  if (connection.buffer.size() > 0) {
+    co_return true;
+  }
+  tcp::socket& socket = connection.stream.socket();
+  connection.is_idle = true;
+  connection.BoundIdle(state->closing ? kCloseGrace
+                                      : state->limits.idle_timeout);
+  beast::error_code error;
+  co_await socket.async_wait(tcp::socket::wait_read,
+                             asio::redirect_error(use_awaitable, error));
+  connection.is_idle = false;
+  connection.timer.cancel();
+  beast::error_code closed;
+  co_return !error || socket.available(closed) > 0;
+}
+
+/// Ends a connection such that its last response arrives: closing with unread
+/// bytes would reset it.
+asio::awaitable<void> Linger(beast::tcp_stream& stream) {
+  beast::error_code error;
+  stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  std::array<char, 4096> discarded{};
+  stream.expires_after(kLinger);
+  while (!error) {
+    co_await stream.async_read_some(asio::buffer(discarded),
+                                    asio::redirect_error(use_awaitable, error));
+  }
 }
 
 /// Reads one request; empty when the connection ended or broke.
+template <class State>
 asio::awaitable<std::optional<http::request<http::string_body>>> ReadRequest(
-    beast::tcp_stream& stream,
-    beast::flat_buffer& buffer,
-    const HttpLimits& limits) {
+    const std::shared_ptr<State>& state,
+    Connection& connection) {
+  const HttpLimits& limits = state->limits;
+  beast::tcp_stream& stream = connection.stream;
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
-  stream.expires_after(limits.idle_timeout);
-  co_await http::async_read_header(stream, buffer, parser, token);
+  stream.expires_after(limits.header_timeout);
+  co_await http::async_read_header(stream, connection.buffer, parser, token);
   if (!error && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> go_on(http::status::continue_,
@@ -235,50 +337,103 @@
       co_await http::async_write(stream, go_on, token);
     }
     stream.expires_after(limits.body_timeout);
-    co_await http::async_read(stream, buffer, parser, token);
+    co_await http::async_read(stream, connection.buffer, parser, token);
   }
   if (!error) {
     co_return parser.release();
   }
-  const bool is_silent_end =
-      error == http::error::end_of_stream ||
-      (error == beast::error::timeout && !parser.got_some());
-  if (!is_silent_end) {
-    BeastExchange exchange(stream, {}, false, 11, limits.write_timeout);
+  if (error != http::error::end_of_stream) {
+    BeastExchange exchange(stream, {}, false, state->ending_connections,
+                           kHttp11, limits.write_timeout);
     co_await exchange.Respond(InputError(error));
   }
   co_return std::nullopt;
 }
 
+/// Reads and answers one request.
+///
+/// \returns whether a further one may follow on the connection.
+template <class State>
+asio::awaitable<bool> ServeOne(const std::shared_ptr<State>& state,
+                               Connection& connection) {
+  ++state->active;
+  const std::shared_ptr<void> uncount(nullptr,
+                                      [state](void*) { --state->active; });
+  auto message = co_await ReadRequest(state, connection);
+  if (!message) {
+    co_return false;
+  }
+  BeastExchange exchange(connection.stream, ToRequest(*message),
+                         message->keep_alive(), state->ending_connections,
+                         message->version(), state->limits.write_timeout);
+  co_await Handle(state, connection.stream, exchange);
+  co_return exchange.may_continue();
+}
+
+/// Tells a caller that there are too many connections.
+template <class State>
+asio::awaitable<void> TurnAway(const std::shared_ptr<State>& state,
+                               Connection& connection) {
+  BeastExchange exchange(connection.stream, {}, false,
+                         state->ending_connections, kHttp11,
+                         state->limits.write_timeout);
+  HttpResponse response = TypedError(503, Errc::kOverloaded);
+  response.fields.Add("retry-after",
+                      std::to_string(kOverloadRetryAfter.count()));
+  co_await exchange.Respond(std::move(response));
+}
+
 template <class State>
 asio::awaitable<void> Serve(std::shared_ptr<State> state,
-                            beast::tcp_stream stream) {
-  ++state->connections;
-  stream.socket().set_option(tcp::no_delay(true));
-  beast::flat_buffer buffer;
+                            std::shared_ptr<Connection> connection) {
+  connection->stream.socket().set_option(tcp::no_delay(true));
   try {
     bool open = state->connections <= state->limits.connections;
+    if (!open) {
+      co_await TurnAway(state, *connection);
+    }
     while (open) {
-      auto message = co_await ReadRequest(stream, buffer, state->limits);
-      if (!message) {
-        break;
-      }
-      BeastExchange exchange(stream, ToRequest(*message), message->keep_alive(),
-                             message->version(), state->limits.write_timeout);
-      if (state->closing) {
-        exchange.EndConnection();
+      open = co_await WaitForRequest(state, *connection);
+      if (open) {
+        open = co_await ServeOne(state, *connection);
       }
-      co_await Handle(state, stream, exchange);
-      open = exchange.may_continue() && !state->closing;
     }
+    co_await Linger(connection->stream);
   } catch (const std::exception& error) {
     LogEvent(Severity::kDebug, "connection_ended").With("reason", error.what());
   }
-  beast::error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  const std::lock_guard lock(state->open_mutex);
+  state->open.erase(connection.get());
   --state->connections;
 }
 
+template <class State>
+void Start(const std::shared_ptr<State>& state, tcp::socket socket) {
+  const auto executor = socket.get_executor();
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  {
+    const std::lock_guard lock(state->open_mutex);
+    state->open[connection.get()] = connection;
+  }
+  ++state->connections;
+  asio::co_spawn(executor, Serve(state, std::move(connection)), asio::detached);
+}
+
+/// Takes over connections that callers have made and nobody has accepted.
+/// Closing the listener would reset them.
+template <class State>
+void AcceptBacklog(const std::shared_ptr<State>& state) {
+  beast::error_code error;
+  state->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(asio::make_strand(state->context));
+    state->acceptor.accept(socket, error);
+    if (!error) {
+      Start(state, std::move(socket));
+    }
+  }
+}
+
 template <class State>
 asio::awaitable<void> Accept(std::shared_ptr<State> state) {
   while (!state->closing) {
@@ -286,20 +441,22 @@
     tcp::socket socket = co_await state->acceptor.async_accept(
         asio::make_strand(state->context),
         asio::redirect_error(use_awaitable, error));
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      LogEvent(Severity::kWarning, "accept_failed")
-          .With("reason", error.message());
-      asio::steady_timer timer(state->context, kGoneCheckInterval);
-      co_await timer.async_wait(use_awaitable);
+    if (!error) {
+      Start(state, std::move(socket));
       continue;
     }
-    const auto executor = socket.get_executor();
-    beast::tcp_stream stream(std::move(socket));
-    asio::co_spawn(executor, Serve(state, std::move(stream)), asio::detached);
+    if (error == asio::error::operation_aborted) {
+      break;
+    }
+    LogEvent(Severity::kWarning, "accept_failed")
+        .With("reason", error.message());
+    asio::steady_timer timer(state->context, kGoneCheckInterval);
+    co_await timer.async_wait(use_awaitable);
   }
+  AcceptBacklog(state);
+  beast::error_code ignored;
+  state->acceptor.close(ignored);
+  state->accepting = false;
 }
 
 }  // namespace
@@ -331,10 +488,28 @@
   if (state_->closing.exchange(true)) {
     return;
   }
+  state_->ending_connections = true;
   asio::post(state_->acceptor.get_executor(), [state = state_] {
     beast::error_code ignored;
-    state->acceptor.close(ignored);
+    state->acceptor.cancel(ignored);
+  });
+  state_->ForEach([](Connection& connection) {
+    if (connection.is_idle) {
+      connection.BoundIdle(kCloseGrace);
+    }
   });
 }
 
+void HttpServer::EndConnections() {
+  state_->ending_connections = true;
+}
+
+void HttpServer::CutOff() {
+  state_->ForEach([](Connection& connection) { connection.stream.close(); });
+}
+
+std::size_t HttpServer::open() const noexcept {
+  return state_->connections + (state_->accepting ? 1 : 0);
+}
+
 }  // namespace sycamoreford
--- a/src/core/errc.cc
+++ b/src/core/errc.cc
@@ -36,6 +36,8 @@
       return "bad_endpoint_answer";
     case Errc::kEndpointRefused:
       return "endpoint_refused";
+    case Errc::kEndpointLeaving:
+      return "endpoint_leaving";
     case Errc::kEndpointFailed:
       return "endpoint_failed";
     case Errc::kLayerRangeChanged:
--- /dev/null
+++ b/src/endpoints/leaving_view.cc
@@ -0,0 +1,91 @@
+#include "sycamoreford/endpoints/leaving_view.h"
+
+#include <utility>
+
+namespace sycamoreford {
+
+std::string ToString(const LeavingSources& sources) {
+  std::string text;
+  const auto add = [&text](bool says, std::string_view name) {
+    if (says) {
+      text.append(text.empty() ? "" : ",").append(name);
+    }
+  };
+  add(sources.operators, "operators");
+  add(sources.list, "list");
+  add(sources.endpoint, "endpoint");
+  return text.empty() ? "none" : text;
+}
+
+void LeavingView::OnEndpoints(const std::vector<WatchedEndpoint>& endpoints) {
+  std::map<EndpointId, Entry> entries;
+  for (const WatchedEndpoint& endpoint : endpoints) {
+    Entry& entry = entries[endpoint.id];
+    const auto known = entries_.find(endpoint.id);
+    if (known != entries_.end() && known->second.address == endpoint.address) {
+      entry = known->second;
+    }
+    entry.address = endpoint.address;
+    entry.sources.operators = endpoint.leaving;
+    entry.sources.list = IsListedLeaving(endpoint.address);
+  }
+  entries_ = std::move(entries);
+}
+
+void LeavingView::OnList(const std::vector<ListedVm>& vms, TimePoint asked_at) {
+  if (asked_at < list_at_) {
+    return;
+  }
+  list_at_ = asked_at;
+  list_.clear();
+  for (const ListedVm& vm : vms) {
+    bool& leaving = list_[vm.address];
+    leaving = leaving || vm.leaving;
+  }
+  for (auto& [id, entry] : entries_) {
+    entry.sources.list = IsListedLeaving(entry.address);
+  }
+}
+
+void LeavingView::OnState(const EndpointId& id,
+                          const std::string& address,
+                          bool leaving,
+                          TimePoint asked_at) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.address != address) {
+    return;
+  }
+  Entry& entry = found->second;
+  const bool is_newer = asked_at > entry.word_at;
+  if (!is_newer && (asked_at < entry.word_at || !leaving)) {
+    return;
+  }
+  entry.word_at = asked_at;
+  entry.sources.endpoint = leaving;
+}
+
+void LeavingView::OnRefusal(const EndpointId& id, TimePoint refused_at) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  OnState(id, found->second.address, true, refused_at);
+}
+
+LeavingSources LeavingView::SourcesOf(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? LeavingSources{} : found->second.sources;
+}
+
+bool LeavingView::IsListedLeaving(const std::string& address) const {
+  const std::string host = address.substr(0, address.rfind(':'));
+  for (const std::string& name : {address, host}) {
+    const auto found = list_.find(name);
+    if (found != list_.end() && found->second) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace sycamoreford
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -92,6 +92,11 @@
     return value;
   }
 
+  /// Notes a fault of the member of that key.
+  void Fault(std::string_view key, std::string expected) {
+    faults_.push_back({PathOf(key), Errc::kMalformed, std::move(expected)});
+  }
+
   [[nodiscard]] std::string PathOf(std::string_view key) const {
     return path_.empty() || key.empty() ? path_ + std::string(key)
                                         : path_ + "." + std::string(key);
@@ -114,10 +119,6 @@
   }
 
  private:
-  void Fault(std::string_view key, std::string expected) {
-    faults_.push_back({PathOf(key), Errc::kMalformed, std::move(expected)});
-  }
-
   const json::object* object_ = nullptr;
   std::string path_;
   std::vector<SettingsFault>& faults_;
@@ -149,6 +150,10 @@
   reader.Number("attempts", limits.attempts, 1, 100);
   reader.Number("default_max_tokens", limits.default_max_tokens, 1, 1'000'000);
   reader.Time("request_timeout_ms", limits.request_timeout, kMostTime);
+  reader.Time("idle_timeout_ms", limits.idle_timeout, kMostTime);
+  reader.Time("header_timeout_ms", limits.header_timeout, kMostTime);
+  reader.Time("body_timeout_ms", limits.body_timeout, kMostTime);
+  reader.Time("write_timeout_ms", limits.write_timeout, kMostTime);
   reader.Time("connect_timeout_ms", limits.connect_timeout, kMostTime);
   reader.Time("first_token_timeout_ms", limits.first_token_timeout, kMostTime);
   reader.Time("between_tokens_timeout_ms", limits.between_tokens_timeout,
@@ -156,6 +161,12 @@
   reader.Time("drain_notice_ms", limits.drain_notice, kMostTime);
   reader.Time("drain_timeout_ms", limits.drain_timeout, kMostTime);
   reader.Time("isolation_grace_ms", limits.isolation_grace, kMostTime);
+  if (limits.drain_timeout < limits.request_timeout) {
+    // A planned stop would cut off requests that keep within their time.
+    reader.Fault("drain_timeout_ms",
+                 "at least request_timeout_ms, " +
+                     std::to_string(limits.request_timeout.count()));
+  }
   reader.RefuseUnknown();
 }
 
--- /dev/null
+++ b/tests/drain_test.cc
@@ -0,0 +1,260 @@
+// A planned stop cuts nothing off.
+#include <csignal>
+#include <future>
+#include <thread>
+
+#include <rapidcheck.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "impl/parse_address.h"
+#include "support/stand.h"
+#include "sycamoreford/drain/drain_machine.h"
+
+namespace sycamoreford {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using support::Fetch;
+using support::Post;
+using support::Stand;
+
+/// One step of a story: time passes, requests come and end, and somebody may
+/// ask for a stop.
+struct Step {
+  int passes_ms;
+  int in_flight;
+  bool asks_to_stop;
+  bool handed_over;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "{" << step.passes_ms << " ms, " << step.in_flight
+             << " in flight" << (step.asks_to_stop ? ", stop" : "")
+             << (step.handed_over ? ", handed over" : "") << "}";
+}
+
+TEST_CASE("the steps of a planned stop agree with an oracle") {
+  rc::check("whatever comes in whatever order", [] {
+    const DrainLimits limits{.notice = milliseconds(100),
+                             .finish = milliseconds(300),
+                             .hand_over = milliseconds(50)};
+    const auto story =
+        *rc::gen::container<std::vector<Step>>(rc::gen::construct<Step>(
+            rc::gen::inRange(0, 120), rc::gen::inRange(0, 3),
+            rc::gen::map(rc::gen::inRange(0, 4), [](int i) { return i == 0; }),
+            rc::gen::map(rc::gen::inRange(0, 6),
+                         [](int i) { return i == 0; })));
+    DrainMachine machine(limits);
+    TimePoint now{};
+    std::optional<TimePoint> asked;
+    std::optional<TimePoint> closed;
+    std::optional<TimePoint> left;
+    bool exited = false;
+    for (const Step& step : story) {
+      now += milliseconds(step.passes_ms);
+      if (step.asks_to_stop) {
+        const bool first = !asked;
+        asked = asked.value_or(now);
+        RC_ASSERT((machine.OnStopRequested(now) == DrainAction::kAnnounce) ==
+                  first);
+      }
+      if (step.handed_over) {
+        const bool expected = left && !exited;
+        RC_ASSERT(machine.OnHandedOver().has_value() == expected);
+        exited = exited || expected;
+      }
+      const auto in_flight = static_cast<std::size_t>(step.in_flight);
+      const DrainAction action = machine.OnTick(now, in_flight);
+      if (!asked || exited) {
+        RC_ASSERT(action == DrainAction::kNone);
+      } else if (!closed) {
+        const bool due = now - *asked >= limits.notice;
+        RC_ASSERT(action ==
+                  (due ? DrainAction::kCloseListener : DrainAction::kNone));
+        closed = due ? std::optional(now) : closed;
+      } else if (!left) {
+        const bool late = now - *closed >= limits.finish;
+        RC_ASSERT(action == (in_flight == 0 ? DrainAction::kHandOver
+                             : late         ? DrainAction::kCutOffAndHandOver
+                                            : DrainAction::kNone));
+        RC_ASSERT(machine.cut_off() ==
+                  (action == DrainAction::kCutOffAndHandOver ? in_flight : 0));
+        left = action == DrainAction::kNone ? left : std::optional(now);
+      } else {
+        exited = now - *left >= limits.hand_over;
+        RC_ASSERT(action == (exited ? DrainAction::kExit : DrainAction::kNone));
+      }
+    }
+  });
+}
+
+/// A kept-alive connection of a caller.
+class Connection {
+ public:
+  explicit Connection(const std::string& address) : socket_(context_) {
+    socket_.connect(impl::ParseAddress(address));
+  }
+  void Send(const std::string& bytes) {
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+  /// Reads until `text` was seen or the peer closed; everything read so far.
+  std::string ReadUntil(const std::string& text) {
+    boost::system::error_code error;
+    std::array<char, 4096> bytes{};
+    while (!error && read_.find(text) == std::string::npos) {
+      const std::size_t size =
+          socket_.read_some(boost::asio::buffer(bytes), error);
+      read_.append(bytes.data(), size);
+    }
+    return read_;
+  }
+  /// Whether the peer ended the connection properly, without a reset.
+  bool IsClosed() {
+    boost::system::error_code error;
+    char byte = 0;
+    socket_.read_some(boost::asio::buffer(&byte, 1), error);
+    return error == boost::asio::error::eof;
+  }
+
+ private:
+  boost::asio::io_context context_;
+  tcp::socket socket_;
+  std::string read_;
+};
+
+constexpr const char* kGet = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+TEST_CASE("a stop takes leave of kept-alive connections") {
+  Stand stand({.limits = R"("drain_notice_ms": 1500)"});
+  Connection busy(stand.callers(0));
+  Connection idle(stand.callers(0));
+  Connection silent(stand.callers(0));
+  for (Connection* connection : {&busy, &idle}) {
+    connection->Send(kGet);
+    REQUIRE(connection->ReadUntil("ok\n").find("Connection: close") ==
+            std::string::npos);
+  }
+  stand.daemon(0).Signal(SIGTERM);
+  HttpRequest ready;
+  ready.target = "/readyz";
+  std::this_thread::sleep_for(milliseconds(300));
+  // Readiness fails first; requests are still served, and the connection ends.
+  REQUIRE(Fetch(stand.callers(0), ready)->status == 503);
+  REQUIRE(Fetch(stand.callers(0), Stand::Chat("Ring", 3, false))->status ==
+          200);
+  busy.Send(kGet);
+  REQUIRE(busy.ReadUntil("close").find("Connection: close") !=
+          std::string::npos);
+  // A request on its way when the listener closes is still answered.
+  std::this_thread::sleep_for(milliseconds(1350));
+  silent.Send(kGet);
+  REQUIRE(silent.ReadUntil("ok\n").find("200 OK") != std::string::npos);
+  REQUIRE(silent.IsClosed());
+  REQUIRE(idle.IsClosed());
+  REQUIRE(stand.daemon(0).Wait(seconds(20)) == 0);
+  REQUIRE(stand.daemon(0).Output().find("event=drain_ended") !=
+          std::string::npos);
+}
+
+TEST_CASE("a stop finishes long streams") {
+  Stand stand({.daemons = 2});
+  std::vector<std::future<Result<HttpResponse>>> streams;
+  streams.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    streams.push_back(std::async(std::launch::async, [&, i] {
+      return Fetch(stand.callers(0),
+                   Stand::Chat("Long " + std::to_string(i), 300, true));
+    }));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+
+  SECTION("under load, asked twice") {
+    stand.daemon(0).Signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(400));
+    stand.daemon(0).Signal(SIGTERM);
+    stand.daemon(0).Signal(SIGINT);
+  }
+  SECTION("during a table outage, while operators watch") {
+    setenv("SYCAMORE_TOKEN", "operator-token", 1);
+    support::Process watch("sycamorectl",
+                           {"--server", stand.operators(0), "watch"});
+    REQUIRE(
+        Post(stand.table(), "/fake/mode", R"({"mode":"down"})").has_value());
+    std::this_thread::sleep_for(milliseconds(1000));
+    stand.daemon(0).Signal(SIGTERM);
+    (void)watch.Wait(seconds(60));
+  }
+  for (int i = 0; i < 8; ++i) {
+    const auto whole = streams[static_cast<std::size_t>(i)].get();
+    REQUIRE(whole.has_value());
+    REQUIRE(Stand::AnswerText(*whole) ==
+            Stand::ExpectedAnswer("Long " + std::to_string(i), 300));
+  }
+  REQUIRE(stand.daemon(0).Wait(seconds(20)) == 0);
+}
+
+TEST_CASE("a stuck stream is cut off at the stated bound") {
+  Stand stand({.limits = R"("drain_notice_ms": 100, "drain_timeout_ms": 2000,
+"request_timeout_ms": 2000, "first_token_timeout_ms": 60000)"});
+  for (const char* stage : {"a0", "b0"}) {
+    REQUIRE(
+        Post(stand.stage(stage).address, "/fake/fault", R"({"kind":"freeze"})")
+            .has_value());
+  }
+  auto stuck = std::async(std::launch::async, [&] {
+    return Fetch(stand.callers(0), Stand::Chat("Stuck", 5, true));
+  });
+  std::this_thread::sleep_for(milliseconds(300));
+  const auto start = std::chrono::steady_clock::now();
+  stand.daemon(0).Signal(SIGTERM);
+  constexpr int kExitCutOff = 4;
+  REQUIRE(stand.daemon(0).Wait(seconds(20)) == kExitCutOff);
+  REQUIRE(std::chrono::steady_clock::now() - start < seconds(10));
+  REQUIRE(stand.daemon(0).Output().find("event=drain_cut_off") !=
+          std::string::npos);
+  (void)stuck.get();
+}
+
+TEST_CASE("daemons that stop one after another cut nothing off") {
+  Stand stand({.daemons = 3});
+  std::atomic<bool> done{false};
+  std::array<std::atomic<bool>, 3> ready{true, true, true};
+  std::atomic<int> answered{0};
+  std::atomic<int> cut{0};
+  std::vector<std::jthread> callers;
+  for (std::size_t i = 0; i < 6; ++i) {
+    callers.emplace_back([&, i] {
+      for (std::size_t at = i; !done; ++at) {
+        // The balancer: it sends to daemons that were ready when last asked.
+        if (!ready[at % 3]) {
+          continue;
+        }
+        const auto answer =
+            Fetch(stand.callers(at % 3), Stand::Chat("Ring", 40, at % 2 == 0));
+        const bool whole = answer && Stand::AnswerText(*answer) ==
+                                         Stand::ExpectedAnswer("Ring", 40);
+        ++(whole ? answered : cut);
+      }
+    });
+  }
+  for (std::size_t i = 0; i < 2; ++i) {
+    std::this_thread::sleep_for(seconds(1));
+    stand.daemon(i).Signal(SIGTERM);
+    ready[i] = false;
+    REQUIRE(stand.daemon(i).Wait(seconds(60)) == 0);
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  done = true;
+  callers.clear();
+  CHECK(answered > 0);
+  REQUIRE(cut == 0);
+}
+
+}  // namespace
+}  // namespace sycamoreford
--- a/tests/fakes/fake_stage.cc
+++ b/tests/fakes/fake_stage.cc
@@ -141,7 +141,8 @@
   const HttpRequest& request = exchange.request();
   if (request.target == "/fake/fault") {
     SetFault(json::parse(request.body));
-    co_await exchange.Respond({});
+    HttpResponse done;
+    co_await exchange.Respond(std::move(done));
     co_return;
   }
   if (request.target == "/fake/ran") {
