Measure requests by customer and priority class, by Boost.Histogram

Queueing, first token, between tokens, whole answer, attempts and outcomes, bounded in number: the least recently used series are folded together. All histograms have the same bins, so that daemons add up over the operators' new Metrics call. /metrics shows them as Prometheus text with escaped labels. The request log line carries customer and attempts, also for callers that went away, and an exception in a handler is answered as internal instead of cutting the connection.

--- a/include/sycamoreford/adapters/caller_front.h
+++ b/include/sycamoreford/adapters/caller_front.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "sycamoreford/adapters/caller_request.h"
 #include "sycamoreford/adapters/entry_state.h"
 #include "sycamoreford/adapters/http_server.h"
 
@@ -18,8 +19,13 @@
   [[nodiscard]] boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
  private:
+  boost::asio::awaitable<void> HandleRequest(HttpExchange& exchange);
   boost::asio::awaitable<Result<void>> Serve(HttpExchange& exchange,
-                                             const std::string& id);
+                                             CallerRequest& caller);
+  /// Counts and logs a request that has ended.
+  void Account(const HttpExchange& exchange,
+               const CallerRequest& caller,
+               const Result<void>& served);
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] HttpResponse Readiness() const;
   [[nodiscard]] HttpResponse Metrics() const;
--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -8,6 +8,7 @@
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
 #include "sycamoreford/drain/drain_state.h"
+#include "sycamoreford/metrics/request_metrics.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/settings/settings.h"
 
@@ -23,6 +24,7 @@
   HttpTableClient table;
   HttpEngineClient engines;
   SteadyClock clock;
+  RequestMetrics metrics;
   /// Set once a planned stop has begun.
   std::atomic<bool> draining{false};
   std::atomic<DrainState> drain_state{DrainState::kServing};
--- a/src/adapters/caller_front.cc
+++ b/src/adapters/caller_front.cc
@@ -8,6 +8,7 @@
 #include "sycamoreford/adapters/chat_handler.h"
 #include "sycamoreford/adapters/service_handler.h"
 #include "sycamoreford/core/log.h"
+#include "sycamoreford/metrics/prometheus_text.h"
 
 namespace sycamoreford {
 
@@ -18,6 +19,8 @@
 
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kRetryAfter{1'000};
+/// Customer and priority of requests without a valid key in metrics and logs.
+constexpr const char* kUnrecognized = "_unrecognized";
 
 std::string PathOf(const std::string& target) {
   return target.substr(0, target.find('?'));
@@ -50,13 +53,10 @@
   return std::min(most, std::chrono::milliseconds(count));
 }
 
-Result<CallerRequest> Recognize(EntryState& state,
-                                const HttpRequest& request,
-                                const std::string& id) {
-  CallerRequest caller;
-  caller.id = RequestId(id);
-  caller.config = state.config.current();
-  caller.received = state.clock.Now();
+/// Finds out who asks and until when, and notes it in `caller`.
+Result<void> Recognize(const EntryState& state,
+                       const HttpRequest& request,
+                       CallerRequest& caller) {
   const std::string_view authorization = request.fields.Get("authorization");
   if (!authorization.starts_with(kBearer)) {
     return Failure{.code = Errc::kUnauthorized, .where = "authorization"};
@@ -67,12 +67,13 @@
     return Failure{.code = Errc::kUnauthorized, .where = "authorization"};
   }
   caller.customer = CustomerId(customer->name());
+  caller.priority = customer->customer().priority();
   auto allowed = TimeAllowed(request, state.settings.limits.request_timeout);
   if (!allowed) {
     return allowed.error();
   }
   caller.deadline = caller.received + *allowed;
-  return caller;
+  return {};
 }
 
 HttpResponse Models(const CallerRequest& caller) {
@@ -100,16 +101,16 @@
 }
 
 HttpResponse CallerFront::Metrics() const {
-  const auto line = [](std::string_view name, std::uint64_t value) {
-    return std::string(name) + " " + std::to_string(value) + "\n";
-  };
-  return Text(200, "# TYPE sycamoreford_requests_total counter\n" +
-                       line("sycamoreford_requests_total", state_.requests) +
-                       "# TYPE sycamoreford_failures_total counter\n" +
-                       line("sycamoreford_failures_total", state_.failures) +
-                       "# TYPE sycamoreford_config_revision gauge\n" +
-                       line("sycamoreford_config_revision",
-                            state_.config.current()->revision().value()));
+  const auto revision = state_.config.current()->revision().value();
+  return Text(200, PrometheusLine("sycamoreford_requests_total", "counter",
+                                  state_.requests) +
+                       PrometheusLine("sycamoreford_failures_total", "counter",
+                                      state_.failures) +
+                       PrometheusLine("sycamoreford_config_revision", "gauge",
+                                      revision) +
+                       PrometheusLine("sycamoreford_draining", "gauge",
+                                      state_.draining ? 1 : 0) +
+                       ToPrometheus(state_.metrics.Snapshot()));
 }
 
 asio::awaitable<void> CallerFront::Handle(HttpExchange& exchange) {
@@ -126,12 +127,50 @@
     co_await exchange.Respond(Metrics());
     co_return;
   }
-  const std::string id = NewUniqueId();
-  const TimePoint started = state_.clock.Now();
+  co_await HandleRequest(exchange);
+}
+
+asio::awaitable<void> CallerFront::HandleRequest(HttpExchange& exchange) {
+  CallerRequest caller;
+  caller.id = RequestId(NewUniqueId());
+  caller.config = state_.config.current();
+  caller.received = state_.clock.Now();
+  caller.timer = std::make_shared<RequestTimer>(caller.received);
   ++state_.requests;
-  auto served = co_await Serve(exchange, id);
+  Result<void> served;
+  try {
+    served = co_await Serve(exchange, caller);
+  } catch (const std::system_error&) {
+    served = Failure{.code = Errc::kCallerGone,
+                     .outcome = Outcome::kUnknown,
+                     .where = "caller"};
+  } catch (const std::exception&) {
+    served = Failure{.code = Errc::kInternal,
+                     .outcome = Outcome::kUnknown,
+                     .where = "handler"};
+  }
+  Account(exchange, caller, served);
+  const bool is_gone = !served && served.error().code == Errc::kCallerGone;
+  if (!served && !is_gone && !exchange.is_answered()) {
+    co_await exchange.Respond(CallerError(served.error(), caller.id.value()));
+  }
+}
+
+void CallerFront::Account(const HttpExchange& exchange,
+                          const CallerRequest& caller,
+                          const Result<void>& served) {
+  const TimePoint now = state_.clock.Now();
+  const bool is_known = !caller.customer.value().empty();
+  const MetricsKey key{is_known ? caller.customer.value() : kUnrecognized,
+                       is_known ? caller.priority : kUnrecognized};
+  state_.metrics.Record(key, served
+                                 ? caller.timer->Answered(now)
+                                 : caller.timer->Failed(served.error(), now));
   LogEvent event(Severity::kInfo, "request");
-  event.With("request", id).With("method", exchange.request().method);
+  event.With("request", caller.id.value())
+      .With("customer", key.customer)
+      .With("attempts", caller.timer->attempts())
+      .With("method", exchange.request().method);
   if (!served) {
     ++state_.failures;
     event.With("error", ToString(served.error().code))
@@ -139,14 +178,11 @@
         .With("where", served.error().where);
   }
   event.With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                       state_.clock.Now() - started));
-  if (!served && !exchange.is_answered()) {
-    co_await exchange.Respond(CallerError(served.error(), id));
-  }
+                       now - caller.received));
 }
 
 asio::awaitable<Result<void>> CallerFront::Serve(HttpExchange& exchange,
-                                                 const std::string& id) {
+                                                 CallerRequest& caller) {
   const HttpRequest& request = exchange.request();
   const std::string path = PathOf(request.target);
   if (!state_.config.confirmed_at()) {
@@ -154,25 +190,25 @@
                       .where = "config",
                       .retry_after = kRetryAfter};
   }
-  auto caller = Recognize(state_, request, id);
-  if (!caller) {
-    co_return caller.error();
+  auto recognized = Recognize(state_, request, caller);
+  if (!recognized) {
+    co_return recognized.error();
   }
   if (path == "/v1/chat/completions") {
     if (request.method != "POST") {
       co_return Failure{.code = Errc::kMethodNotAllowed, .where = "method"};
     }
-    co_return co_await HandleChat(state_, *caller, exchange);
+    co_return co_await HandleChat(state_, caller, exchange);
   }
   if (path == "/v1/models") {
     if (request.method != "GET") {
       co_return Failure{.code = Errc::kMethodNotAllowed, .where = "method"};
     }
-    co_await exchange.Respond(Models(*caller));
+    co_await exchange.Respond(Models(caller));
     co_return Result<void>();
   }
   if (path.starts_with("/v1/services/")) {
-    co_return co_await HandleService(state_, *caller, exchange);
+    co_return co_await HandleService(state_, caller, exchange);
   }
   co_return Failure{.code = Errc::kNotFound, .where = "path"};
 }
--- a/src/adapters/chat_handler.cc
+++ b/src/adapters/chat_handler.cc
@@ -5,7 +5,6 @@
 #include <boost/json.hpp>
 
 #include "sycamoreford/adapters/caller_error.h"
-#include "sycamoreford/core/log.h"
 #include "sycamoreford/stream/answer_driver.h"
 
 namespace sycamoreford {
@@ -151,6 +150,40 @@
   std::int64_t created_;
 };
 
+/// Measures the tokens that pass on to another sink.
+template <AnswerSink Sink>
+class TimedSink {
+ public:
+  TimedSink(Sink& sink, RequestTimer& timer, const SteadyClock& clock)
+      : sink_(sink), timer_(timer), clock_(clock) {}
+
+  asio::awaitable<void> OnToken(const std::string& text) {
+    timer_.OnToken(clock_.Now());
+    return sink_.OnToken(text);
+  }
+
+ private:
+  Sink& sink_;
+  RequestTimer& timer_;
+  const SteadyClock& clock_;
+};
+
+/// Notes the number of attempts when it goes out of scope, also when the
+/// caller went away.
+template <class Driver>
+class AttemptCount {
+ public:
+  AttemptCount(const Driver& driver, RequestTimer& timer)
+      : driver_(driver), timer_(timer) {}
+  ~AttemptCount() { timer_.SetAttempts(driver_.attempts()); }
+  AttemptCount(const AttemptCount&) = delete;
+  AttemptCount& operator=(const AttemptCount&) = delete;
+
+ private:
+  const Driver& driver_;
+  RequestTimer& timer_;
+};
+
 HttpResponse WholeAnswer(const CallerRequest& caller,
                          const ChatRequest& chat,
                          const WholeSink& sink,
@@ -222,10 +255,13 @@
       .between_tokens_timeout = bounds.between_tokens_timeout,
       .connect_timeout = bounds.connect_timeout};
   AnswerDriver driver(state.engines, state.endpoints, state.clock, limits);
+  const AttemptCount<decltype(driver)> count(driver, *caller.timer);
+  caller.timer->OnDispatched(state.clock.Now());
   Result<std::string> ended = std::string();
   if (chat->stream) {
     StreamSink sink(exchange, caller.id.value(), chat->model);
-    ended = co_await driver.Run(*order, sink);
+    TimedSink timed(sink, *caller.timer, state.clock);
+    ended = co_await driver.Run(*order, timed);
     if (ended) {
       co_await sink.Finish(*ended);
     } else if (exchange.is_answered()) {
@@ -233,15 +269,12 @@
     }
   } else {
     WholeSink sink;
-    ended = co_await driver.Run(*order, sink);
+    TimedSink timed(sink, *caller.timer, state.clock);
+    ended = co_await driver.Run(*order, timed);
     if (ended) {
       co_await exchange.Respond(WholeAnswer(caller, *chat, sink, *ended));
     }
   }
-  LogEvent(Severity::kDebug, "chat_attempts")
-      .With("request", caller.id.value())
-      .With("customer", caller.customer.value())
-      .With("attempts", driver.attempts());
   if (!ended) {
     co_return ended.error();
   }
--- a/src/adapters/entry_state.cc
+++ b/src/adapters/entry_state.cc
@@ -10,7 +10,8 @@
 EntryState::EntryState(Settings the_settings)
     : settings(std::move(the_settings)),
       table(settings.table.address, settings.table.timeout),
-      engines(settings.limits.connect_timeout) {}
+      engines(settings.limits.connect_timeout),
+      metrics(settings.limits.metrics_series) {}
 
 std::string NewUniqueId() {
   thread_local boost::uuids::random_generator generator;
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -8,6 +8,7 @@
 #include <grpcpp/resource_quota.h>
 
 #include "impl/rollback_edits.h"
+#include "sycamoreford/adapters/metrics_message.h"
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/v1/operator.grpc.pb.h"
 
@@ -179,6 +180,18 @@
     return grpc::Status::OK;
   }
 
+  grpc::Status Metrics(grpc::ServerContext* context,
+                       const v1::MetricsRequest* /*request*/,
+                       v1::MetricsReply* reply) override {
+    auto author = Author(*context);
+    if (!author) {
+      return ToStatus(author.error());
+    }
+    *reply = ToMessage(state_.metrics.Snapshot());
+    reply->set_daemon(state_.settings.name);
+    return grpc::Status::OK;
+  }
+
   grpc::Status State(grpc::ServerContext* context,
                      const v1::StateRequest* /*request*/,
                      v1::StateReply* reply) override {
--- a/src/adapters/service_handler.cc
+++ b/src/adapters/service_handler.cc
@@ -94,6 +94,7 @@
 
 /// Sends the call until it was answered, or may not be sent again.
 asio::awaitable<Result<HttpResponse>> Dispatch(EntryState& state,
+                                               const CallerRequest& caller,
                                                const ServiceCall& call) {
   std::set<EndpointId> avoid;
   bool may_have_run = false;
@@ -108,6 +109,8 @@
     Chain chain;
     chain.push_back({id, endpoint->address(), LayerRange()});
     const ChainHold hold(state.endpoints, chain);
+    caller.timer->OnDispatched(state.clock.Now());
+    caller.timer->SetAttempts(caller.timer->attempts() + 1);
     auto answer = co_await FetchHttp(endpoint->address(), call.request,
                                      call.timeout, kAnswerLimit);
     if (answer) {
@@ -156,7 +159,7 @@
     response.body = grant->replay->body;
     co_return response;
   }
-  auto answer = co_await Dispatch(state, call);
+  auto answer = co_await Dispatch(state, caller, call);
   if (answer) {
     ClaimAnswer answered;
     answered.status = answer->status;
@@ -186,7 +189,7 @@
   const std::string key(exchange.request().fields.Get("idempotency-key"));
   Result<HttpResponse> answer = HttpResponse();
   if (key.empty()) {
-    answer = co_await Dispatch(state, *call);
+    answer = co_await Dispatch(state, caller, *call);
   } else {
     answer = co_await DispatchOnce(state, caller, *call, key);
   }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -149,6 +149,7 @@
   reader.Number("body_bytes", limits.body_bytes, 256, kMostBytes);
   reader.Number("attempts", limits.attempts, 1, 100);
   reader.Number("default_max_tokens", limits.default_max_tokens, 1, 1'000'000);
+  reader.Number("metrics_series", limits.metrics_series, 1, 100'000);
   reader.Time("request_timeout_ms", limits.request_timeout, kMostTime);
   reader.Time("idle_timeout_ms", limits.idle_timeout, kMostTime);
   reader.Time("header_timeout_ms", limits.header_timeout, kMostTime);
--- /dev/null
+++ b/tests/metrics_test.cc
@@ -0,0 +1,198 @@
+// Metrics add up, stay bounded, and are readable by their usual reader.
+#include <regex>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "support/stand.h"
+#include "sycamoreford/adapters/metrics_message.h"
+#include "sycamoreford/metrics/prometheus_text.h"
+#include "sycamoreford/metrics/request_metrics.h"
+#include "sycamoreford/metrics/request_timer.h"
+
+namespace sycamoreford {
+namespace {
+
+using support::Fetch;
+using support::Stand;
+
+/// A request of a story: whose, at which daemon, and how it went.
+struct Told {
+  int customer;
+  int daemon;
+  int whole_ms;
+  int attempts;
+  RequestOutcome outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const Told& told) {
+  return out << "{customer " << told.customer << ", daemon " << told.daemon
+             << ", " << told.whole_ms << " ms, " << told.attempts
+             << " attempts, " << ToString(told.outcome) << "}";
+}
+
+RequestSample SampleOf(const Told& told) {
+  RequestSample sample;
+  sample.whole = std::chrono::milliseconds(told.whole_ms);
+  sample.queueing = std::chrono::milliseconds(told.whole_ms % 7);
+  sample.attempts = static_cast<std::uint32_t>(told.attempts);
+  sample.outcome = told.outcome;
+  if (told.outcome != RequestOutcome::kAnswered) {
+    sample.error = Errc::kStalled;
+  }
+  return sample;
+}
+
+rc::Gen<std::vector<Told>> Stories(int customers) {
+  return rc::gen::container<std::vector<Told>>(rc::gen::construct<Told>(
+      rc::gen::inRange(0, customers), rc::gen::inRange(0, 3),
+      rc::gen::inRange(0, 2'000'000), rc::gen::inRange(0, 20),
+      rc::gen::element(RequestOutcome::kAnswered, RequestOutcome::kNotRun,
+                       RequestOutcome::kFailed, RequestOutcome::kUnknown)));
+}
+
+MetricsKey KeyOf(const Told& told) {
+  return {"customer-" + std::to_string(told.customer), "standard"};
+}
+
+TEST_CASE("metrics of several daemons add up to those of one") {
+  rc::check("over the operators' RPC", [] {
+    const auto story = *Stories(4);
+    RequestMetrics one(100);
+    std::vector<std::unique_ptr<RequestMetrics>> daemons;
+    for (int i = 0; i < 3; ++i) {
+      daemons.push_back(std::make_unique<RequestMetrics>(100));
+    }
+    for (const Told& told : story) {
+      one.Record(KeyOf(told), SampleOf(told));
+      daemons[static_cast<std::size_t>(told.daemon)]->Record(KeyOf(told),
+                                                             SampleOf(told));
+    }
+    MetricsSnapshot sum;
+    for (const auto& daemon : daemons) {
+      const auto read = FromMessage(ToMessage(daemon->Snapshot()));
+      RC_ASSERT(read.has_value());
+      sum.Add(*read);
+    }
+    const MetricsSnapshot expected = one.Snapshot();
+    RC_ASSERT(sum.series.size() == expected.series.size());
+    for (const auto& [key, series] : expected.series) {
+      const RequestSeries& got = sum.series[key];
+      RC_ASSERT(got.whole.counts() == series.whole.counts());
+      RC_ASSERT(got.queueing.counts() == series.queueing.counts());
+      RC_ASSERT(got.attempts == series.attempts);
+      RC_ASSERT(got.outcomes == series.outcomes);
+    }
+    RC_ASSERT(sum.errors == expected.errors);
+  });
+}
+
+TEST_CASE("series stay bounded, and no request goes uncounted") {
+  rc::check("the least recently used are folded together", [] {
+    constexpr std::size_t kMost = 3;
+    const auto story = *Stories(10);
+    RequestMetrics metrics(kMost);
+    std::vector<MetricsKey> recent;
+    for (const Told& told : story) {
+      metrics.Record(KeyOf(told), SampleOf(told));
+      std::erase(recent, KeyOf(told));
+      recent.push_back(KeyOf(told));
+    }
+    const MetricsSnapshot snapshot = metrics.Snapshot();
+    RC_ASSERT(snapshot.series.size() <= kMost + 1);
+    std::uint64_t counted = 0;
+    for (const auto& [key, series] : snapshot.series) {
+      counted += series.whole.count();
+    }
+    RC_ASSERT(counted == story.size());
+    for (std::size_t i = 0; i < std::min(kMost, recent.size()); ++i) {
+      RC_ASSERT(snapshot.series.contains(recent[recent.size() - 1 - i]));
+    }
+  });
+}
+
+TEST_CASE("a request is measured on its way") {
+  const auto at = [](int ms) {
+    return TimePoint(std::chrono::seconds(5) + std::chrono::milliseconds(ms));
+  };
+  RequestTimer timer(at(0));
+  timer.OnDispatched(at(3));
+  timer.OnDispatched(at(9));
+  timer.OnToken(at(20));
+  timer.OnToken(at(25));
+  timer.OnToken(at(30));
+  const RequestSample sample = timer.Answered(at(31));
+  REQUIRE(sample.queueing == std::chrono::milliseconds(3));
+  REQUIRE(sample.first_token == std::chrono::milliseconds(20));
+  REQUIRE(sample.between_tokens.count() == 2);
+  REQUIRE(sample.between_tokens.sum_seconds() == Approx(0.010));
+  REQUIRE(sample.whole == std::chrono::milliseconds(31));
+}
+
+TEST_CASE("times fall into the bin whose edges hold them") {
+  TimeHistogram histogram;
+  histogram.Record(std::chrono::microseconds(50));
+  histogram.Record(std::chrono::milliseconds(10));
+  histogram.Record(std::chrono::hours(1));
+  const TimeHistogram::Counts counts = histogram.counts();
+  REQUIRE(counts.front() == 1);
+  REQUIRE(counts.back() == 1);
+  for (std::size_t bin = 1; bin + 1 < TimeHistogram::kBins; ++bin) {
+    const bool holds = TimeHistogram::UpperEdge(bin - 1) <= 0.010 &&
+                       0.010 < TimeHistogram::UpperEdge(bin);
+    REQUIRE(counts[bin] == (holds ? 1U : 0U));
+  }
+}
+
+TEST_CASE("a message with other bins is refused") {
+  RequestMetrics metrics(1);
+  metrics.Record({"ringers", "standard"}, {});
+  v1::MetricsReply message = ToMessage(metrics.Snapshot());
+  REQUIRE(FromMessage(message).has_value());
+  message.mutable_series(0)->mutable_whole()->add_counts(1);
+  REQUIRE(FromMessage(message).error().code == Errc::kMalformed);
+  message.set_upper_edges_seconds(0, 7);
+  REQUIRE(FromMessage(message).error().code == Errc::kMalformed);
+}
+
+TEST_CASE("names can not break out of the Prometheus text") {
+  RequestMetrics metrics(2);
+  metrics.Record({"a\"} 1\nevil 1\\", "p"}, {});
+  const std::string text = ToPrometheus(metrics.Snapshot());
+  REQUIRE(text.find("\nevil") == std::string::npos);
+  REQUIRE(text.find(R"(customer="a\"} 1\nevil 1\\")") != std::string::npos);
+}
+
+TEST_CASE("operators and Prometheus see a customer's requests") {
+  Stand stand({});
+  REQUIRE(Fetch(stand.callers(0), Stand::Chat("Ring", 5, true))->status == 200);
+  REQUIRE(
+      Fetch(stand.callers(0), Stand::Chat("Ring", 5, false, "wrong"))->status ==
+      401);
+  HttpRequest request;
+  request.target = "/metrics";
+  const std::string text = Fetch(stand.callers(0), request)->body;
+  const std::string labels = R"({customer="ringers",priority="standard"})";
+  for (const char* line : {"sycamoreford_request_queueing_seconds_count%s 1\n",
+                           "sycamoreford_first_token_seconds_count%s 1\n",
+                           "sycamoreford_between_tokens_seconds_count%s 4\n",
+                           "sycamoreford_request_seconds_count%s 1\n",
+                           "sycamoreford_request_attempts_sum%s 1\n"}) {
+    std::string expected = line;
+    expected.replace(expected.find("%s"), 2, labels);
+    INFO(expected);
+    REQUIRE(text.find(expected) != std::string::npos);
+  }
+  REQUIRE(text.find("sycamoreford_errors_total{type=\"unauthorized\"} 1\n") !=
+          std::string::npos);
+  const std::regex line(
+      R"(# TYPE \w+ (counter|gauge|histogram)|\w+(\{[^}]*\})? [-+0-9.e]+)");
+  std::istringstream lines(text);
+  for (std::string each; std::getline(lines, each);) {
+    INFO(each);
+    REQUIRE(std::regex_match(each, line));
+  }
+}
+
+}  // namespace
+}  // namespace sycamoreford
