Prove typed errors for bad input, and check settings to the last byte

Found by the tests: a caller that sent half a request was never told (the stream's timeout closes the socket), text after the end of the settings was passed over, and a caller that went away left no log line.

--- a/src/adapters/caller_front.cc
+++ b/src/adapters/caller_front.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include <boost/json.hpp>
+#include <boost/system/system_error.hpp>
 
 #include "sycamoreford/adapters/caller_error.h"
 #include "sycamoreford/adapters/chat_handler.h"
@@ -140,7 +141,7 @@
   Result<void> served;
   try {
     served = co_await Serve(exchange, caller);
-  } catch (const std::system_error&) {
+  } catch (const boost::system::system_error&) {
     served = Failure{.code = Errc::kCallerGone,
                      .outcome = Outcome::kUnknown,
                      .where = "caller"};
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -45,23 +45,34 @@
   explicit Connection(tcp::socket socket)
       : stream(std::move(socket)), timer(stream.get_executor()) {}
 
-  /// Ends the wait for the next request after this time; starts anew when
-  /// called again.
-  void BoundIdle(std::chrono::milliseconds time) {
+  /// Cancels what is read after this time; starts anew when called again. The
+  /// stream's own timeout would close the socket, and nobody could be told.
+  void BoundRead(std::chrono::milliseconds time) {
+    is_bounded = true;
     timer.expires_after(time);
     timer.async_wait([weak = weak_from_this()](beast::error_code error) {
       const auto self = weak.lock();
-      if (!error && self && self->is_idle) {
+      if (!error && self && self->is_bounded) {
+        self->timed_out = true;
         beast::error_code ignored;
         self->stream.socket().cancel(ignored);
       }
     });
   }
 
+  /// Ends the bound.
+  void UnboundRead() {
+    is_bounded = false;
+    timer.cancel();
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   asio::steady_timer timer;
+  /// Waiting for the first byte of a request.
   bool is_idle = false;
+  bool is_bounded = false;
+  bool timed_out = false;
 };
 
 }  // namespace
@@ -292,13 +303,13 @@
   }
   tcp::socket& socket = connection.stream.socket();
   connection.is_idle = true;
-  connection.BoundIdle(state->closing ? kCloseGrace
+  connection.BoundRead(state->closing ? kCloseGrace
                                       : state->limits.idle_timeout);
   beast::error_code error;
   co_await socket.async_wait(tcp::socket::wait_read,
                              asio::redirect_error(use_awaitable, error));
   connection.is_idle = false;
-  connection.timer.cancel();
+  connection.UnboundRead();
   beast::error_code closed;
   co_return !error || socket.available(closed) > 0;
 }
@@ -328,7 +339,9 @@
   parser.body_limit(limits.body_bytes);
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
-  stream.expires_after(limits.header_timeout);
+  stream.expires_never();
+  connection.timed_out = false;
+  connection.BoundRead(limits.header_timeout);
   co_await http::async_read_header(stream, connection.buffer, parser, token);
   if (!error && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -336,9 +349,13 @@
                                              parser.get().version());
       co_await http::async_write(stream, go_on, token);
     }
-    stream.expires_after(limits.body_timeout);
+    connection.BoundRead(limits.body_timeout);
     co_await http::async_read(stream, connection.buffer, parser, token);
   }
+  connection.UnboundRead();
+  if (error && connection.timed_out) {
+    error = beast::error::timeout;
+  }
   if (!error) {
     co_return parser.release();
   }
@@ -495,7 +512,7 @@
   });
   state_->ForEach([](Connection& connection) {
     if (connection.is_idle) {
-      connection.BoundIdle(kCloseGrace);
+      connection.BoundRead(kCloseGrace);
     }
   });
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -220,7 +220,7 @@
   options.allow_trailing_commas = true;
   json::stream_parser parser({}, options);
   json::error_code error;
-  const std::size_t at = parser.write_some(text, error);
+  const std::size_t at = parser.write(text, error);
   if (!error) {
     parser.finish(error);
   }
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,146 @@
+// Settings are checked whole: every fault is listed by its path in the file.
+#include <fstream>
+#include <set>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "support/process.h"
+#include "sycamoreford/settings/settings.h"
+
+namespace sycamoreford {
+namespace {
+
+std::string ReadFile(const std::string& path) {
+  const std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string Example() {
+  return ReadFile(EXAMPLE_SETTINGS);
+}
+
+std::set<std::string> FaultsOf(const std::string& text) {
+  std::set<std::string> paths;
+  for (const SettingsFault& fault : ParseSettings(text).faults) {
+    paths.insert(fault.path);
+  }
+  return paths;
+}
+
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = Example();
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST_CASE("the example file is valid and shows the defaults") {
+  const ParsedSettings parsed = ParseSettings(Example());
+  REQUIRE(parsed.is_valid());
+  const Settings::Limits defaults;
+  const Settings::Limits& limits = parsed.settings.limits;
+  CHECK(limits.workers == defaults.workers);
+  CHECK(limits.connections == defaults.connections);
+  CHECK(limits.header_bytes == defaults.header_bytes);
+  CHECK(limits.body_bytes == defaults.body_bytes);
+  CHECK(limits.attempts == defaults.attempts);
+  CHECK(limits.metrics_series == defaults.metrics_series);
+  CHECK(limits.request_timeout == defaults.request_timeout);
+  CHECK(limits.idle_timeout == defaults.idle_timeout);
+  CHECK(limits.drain_notice == defaults.drain_notice);
+  CHECK(limits.drain_timeout == defaults.drain_timeout);
+
+  SECTION("the daemon checks it and exits") {
+    support::Process check("sycamored",
+                           {"--settings", EXAMPLE_SETTINGS, "--check"});
+    REQUIRE(check.Wait(std::chrono::seconds(10)) == 0);
+    REQUIRE(check.Output() == "settings are valid\n");
+  }
+}
+
+TEST_CASE("each fault is listed by its path") {
+  using Paths = std::set<std::string>;
+  SECTION("one fault each") {
+    CHECK(FaultsOf(With("\"name\": \"entry-1\"", "\"name\": 5")) ==
+          Paths{"name"});
+    CHECK(FaultsOf(With("\"region\"", "\"regoin\"")) ==
+          Paths{"region", "regoin"});
+    CHECK(FaultsOf(With("10.0.1.5:8080", "host:8080")) ==
+          Paths{"listen.callers"});
+    CHECK(FaultsOf(With("10.0.1.5:8080", "10.0.1.5:99999")) ==
+          Paths{"listen.callers"});
+    CHECK(FaultsOf(With("\"workers\": 2", "\"workers\": 0")) ==
+          Paths{"limits.workers"});
+    CHECK(FaultsOf(With("\"workers\": 2", "\"workers\": 2.5")) ==
+          Paths{"limits.workers"});
+    CHECK(FaultsOf(With("\"workers\": 2", "\"workers\": -1")) ==
+          Paths{"limits.workers"});
+    CHECK(FaultsOf(With("\"attempts\": 6", "\"attempts\": \"6\"")) ==
+          Paths{"limits.attempts"});
+    CHECK(
+        FaultsOf(With("\"timeout_ms\": 1500", "\"timeout_ms\": 99999999999")) ==
+        Paths{"table.timeout_ms"});
+    CHECK(FaultsOf(With("\"drain_timeout_ms\": 130000",
+                        "\"drain_timeout_ms\": 119999")) ==
+          Paths{"limits.drain_timeout_ms"});
+    CHECK(FaultsOf(With("\"token_salt\"", "\"salt\"")) ==
+          Paths{"operators[0].token_salt", "operators[0].salt"});
+    CHECK(FaultsOf(With("\"operators\": [", "\"operators\": 1, \"more\": [")) ==
+          Paths{"operators", "more"});
+  }
+  SECTION("all at once") {
+    CHECK(
+        FaultsOf(R"({"name":"","listen":[],"limits":{"workers":"x","y":1}})") ==
+        Paths{"name", "data_center", "region", "listen", "table",
+              "limits.workers", "limits.y", "operators"});
+  }
+  SECTION("what is no JSON is one fault with its place") {
+    for (const std::string text :
+         {std::string(), std::string("{"), std::string("[1"),
+          Example() + "trailing", Example() + "{}", std::string(5000, '[')}) {
+      const ParsedSettings parsed = ParseSettings(text);
+      REQUIRE(parsed.faults.size() == 1);
+      CHECK(parsed.faults[0].path.starts_with("byte "));
+    }
+  }
+  SECTION("comments and blanks after the end are no faults") {
+    CHECK(ParseSettings(Example() + "\n // the end\n").is_valid());
+  }
+  SECTION("a file that is not there") {
+    support::Process check("sycamored", {"--settings", "/nowhere", "--check"});
+    REQUIRE(check.Wait(std::chrono::seconds(10)) == 2);
+    REQUIRE(check.Output().find("/nowhere") != std::string::npos);
+  }
+}
+
+TEST_CASE("no settings text crashes the reader") {
+  rc::check("when bytes of a valid text are replaced, cut or doubled", [] {
+    std::string text = Example();
+    const auto edits = *rc::gen::container<std::vector<std::size_t>>(
+        rc::gen::inRange<std::size_t>(0, text.size()));
+    for (const std::size_t at : edits) {
+      if (at >= text.size()) {
+        continue;
+      }
+      switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+          text[at] = *rc::gen::arbitrary<char>();
+          break;
+        case 1:
+          text.erase(at, 10);
+          break;
+        default:
+          text.insert(at, text.substr(at, 20));
+      }
+    }
+    const ParsedSettings parsed = ParseSettings(text);
+    for (const SettingsFault& fault : parsed.faults) {
+      RC_ASSERT(!fault.path.empty() || !fault.expected.empty());
+    }
+  });
+}
+
+}  // namespace
+}  // namespace sycamoreford
--- /dev/null
+++ b/tests/support/raw_connection.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <string>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "impl/parse_address.h"
+
+namespace sycamoreford::support {
+
+/// A caller's connection that sends any bytes; blocking.
+class RawConnection {
+ public:
+  explicit RawConnection(const std::string& address) : socket_(context_) {
+    socket_.connect(impl::ParseAddress(address));
+  }
+
+  /// Sends bytes; a peer that has closed is no error.
+  void Send(const std::string& bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+  }
+
+  /// Reads until `text` was seen or the peer closed; everything read so far.
+  std::string ReadUntil(const std::string& text) {
+    boost::system::error_code error;
+    std::array<char, 4096> bytes{};
+    while (!error && read_.find(text) == std::string::npos) {
+      const std::size_t size =
+          socket_.read_some(boost::asio::buffer(bytes), error);
+      read_.append(bytes.data(), size);
+    }
+    was_reset_ = error == boost::asio::error::connection_reset;
+    return read_;
+  }
+
+  /// Reads until the peer closes; everything read so far.
+  std::string ReadAll() { return ReadUntil(std::string(1, '\0')); }
+
+  /// Whether the peer ends the connection properly, without a reset.
+  bool IsClosed() {
+    boost::system::error_code error;
+    char byte = 0;
+    socket_.read_some(boost::asio::buffer(&byte, 1), error);
+    return error == boost::asio::error::eof;
+  }
+
+  /// Whether reading ended by a reset.
+  [[nodiscard]] bool was_reset() const noexcept { return was_reset_; }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string read_;
+  bool was_reset_ = false;
+};
+
+}  // namespace sycamoreford::support
