--- a/tests/drain_test.cc
+++ b/tests/drain_test.cc
@@ -36,7 +36,7 @@
 }
 
 TEST_CASE("the steps of a planned stop agree with an oracle") {
-  rc::check("whatever comes in whatever order", [] {
+  REQUIRE(rc::check("whatever comes in whatever order", [] {
     const DrainLimits limits{.notice = milliseconds(100),
                              .finish = milliseconds(300),
                              .hand_over = milliseconds(50)};
@@ -87,7 +87,7 @@
         RC_ASSERT(action == (exited ? DrainAction::kExit : DrainAction::kNone));
       }
     }
-  });
+  }));
 }
 
 constexpr const char* kGet = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -71,7 +71,7 @@
 }
 
 TEST_CASE("the view of who leaves agrees with an oracle") {
-  rc::check("for words that come late and crossed", [] {
+  REQUIRE(rc::check("for words that come late and crossed", [] {
     const auto kinds = rc::gen::element(Heard::Kind::kList, Heard::Kind::kState,
                                         Heard::Kind::kRefusal);
     const auto story =
@@ -104,7 +104,7 @@
         RC_ASSERT(sources.operators == (operators_say && i == 0));
       }
     }
-  });
+  }));
 }
 
 TEST_CASE("a list names a whole VM or one process on it") {
@@ -127,7 +127,7 @@
 }
 
 TEST_CASE("every endpoint has its turn to be probed") {
-  rc::check("within count times spacing, or the least interval", [] {
+  REQUIRE(rc::check("within count times spacing, or the least interval", [] {
     const int count = *rc::gen::inRange(1, 20);
     const int least = *rc::gen::inRange(1, 10);
     std::vector<WatchedEndpoint> endpoints;
@@ -148,8 +148,8 @@
       }
     }
     RC_ASSERT(probed.size() == endpoints.size());
-  });
-  rc::check("a subset stays when others come and go", [] {
+  }));
+  REQUIRE(rc::check("a subset stays when others come and go", [] {
     const int count = *rc::gen::inRange(5, 40);
     std::vector<WatchedEndpoint> all;
     all.reserve(static_cast<std::size_t>(count));
@@ -166,7 +166,7 @@
     for (const WatchedEndpoint& endpoint : before) {
       RC_ASSERT(endpoint.id.value() == "0" || after.contains(endpoint.id));
     }
-  });
+  }));
 }
 
 /// Callers that send short requests without pause until destroyed.
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -56,7 +56,7 @@
 }
 
 TEST_CASE("metrics of several daemons add up to those of one") {
-  rc::check("over the operators' RPC", [] {
+  REQUIRE(rc::check("over the operators' RPC", [] {
     const auto story = *Stories(4);
     RequestMetrics one(100);
     std::vector<std::unique_ptr<RequestMetrics>> daemons;
@@ -84,11 +84,11 @@
       RC_ASSERT(got.outcomes == series.outcomes);
     }
     RC_ASSERT(sum.errors == expected.errors);
-  });
+  }));
 }
 
 TEST_CASE("series stay bounded, and no request goes uncounted") {
-  rc::check("the least recently used are folded together", [] {
+  REQUIRE(rc::check("the least recently used are folded together", [] {
     constexpr std::size_t kMost = 3;
     const auto story = *Stories(10);
     RequestMetrics metrics(kMost);
@@ -108,7 +108,7 @@
     for (std::size_t i = 0; i < std::min(kMost, recent.size()); ++i) {
       RC_ASSERT(snapshot.series.contains(recent[recent.size() - 1 - i]));
     }
-  });
+  }));
 }
 
 TEST_CASE("a request is measured on its way") {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -116,30 +116,31 @@
 }
 
 TEST_CASE("no settings text crashes the reader") {
-  rc::check("when bytes of a valid text are replaced, cut or doubled", [] {
-    std::string text = Example();
-    const auto edits = *rc::gen::container<std::vector<std::size_t>>(
-        rc::gen::inRange<std::size_t>(0, text.size()));
-    for (const std::size_t at : edits) {
-      if (at >= text.size()) {
-        continue;
-      }
-      switch (*rc::gen::inRange(0, 3)) {
-        case 0:
-          text[at] = *rc::gen::arbitrary<char>();
-          break;
-        case 1:
-          text.erase(at, 10);
-          break;
-        default:
-          text.insert(at, text.substr(at, 20));
-      }
-    }
-    const ParsedSettings parsed = ParseSettings(text);
-    for (const SettingsFault& fault : parsed.faults) {
-      RC_ASSERT(!fault.path.empty() || !fault.expected.empty());
-    }
-  });
+  REQUIRE(
+      rc::check("when bytes of a valid text are replaced, cut or doubled", [] {
+        std::string text = Example();
+        const auto edits = *rc::gen::container<std::vector<std::size_t>>(
+            rc::gen::inRange<std::size_t>(0, text.size()));
+        for (const std::size_t at : edits) {
+          if (at >= text.size()) {
+            continue;
+          }
+          switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+              text[at] = *rc::gen::arbitrary<char>();
+              break;
+            case 1:
+              text.erase(at, 10);
+              break;
+            default:
+              text.insert(at, text.substr(at, 20));
+          }
+        }
+        const ParsedSettings parsed = ParseSettings(text);
+        for (const SettingsFault& fault : parsed.faults) {
+          RC_ASSERT(!fault.path.empty() || !fault.expected.empty());
+        }
+      }));
 }
 
 }  // namespace
