--- /dev/null
+++ b/examples/check_settings.cc
@@ -0,0 +1,22 @@
+// Shows how a settings text is checked: every fault by its path in the file.
+#include <iostream>
+
+#include "sycamoreford/settings/settings.h"
+
+int main() {
+  const auto parsed = sycamoreford::ParseSettings(R"({
+    // Comments are fine.
+    "name": "entry-1",
+    "data_center": "oyo",
+    "regoin": "sw-ng",
+    "listen": {"callers": "localhost:8080", "operators": "10.0.1.5:7070",
+               "peers": "10.0.1.5:7071"},
+    "table": {"address": "10.0.0.2:9000"},
+    "limits": {"workers": 0},
+    "operators": []
+  })");
+  for (const auto& fault : parsed.faults) {
+    std::cout << fault.path << ": expected " << fault.expected << '\n';
+  }
+  return parsed.is_valid() ? 1 : 0;
+}
