--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -7,6 +7,7 @@
 #include "sycamoreford/adapters/drain_hook.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
+#include "sycamoreford/adapters/serve_permit.h"
 #include "sycamoreford/drain/drain_state.h"
 #include "sycamoreford/metrics/request_metrics.h"
 #include "sycamoreford/route/endpoint_table.h"
@@ -23,6 +24,8 @@
   EndpointTable endpoints;
   HttpTableClient table;
   HttpEngineClient engines;
+  /// Whether the configuration in force may be served on.
+  ServePermit permit;
   SteadyClock clock;
   RequestMetrics metrics;
   /// Set once a planned stop has begun.
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -46,9 +46,11 @@
   explicit State(Settings settings)
       : entry(std::move(settings)),
         config(context,
+               entry.settings,
                entry.table,
                entry.config,
-               entry.settings.table.poll_interval),
+               entry.permit,
+               entry.draining),
         watcher(context, entry),
         front(entry),
         callers(
@@ -60,7 +62,9 @@
         signals(context, SIGINT, SIGTERM),
         drain_strand(asio::make_strand(context)),
         drain({.notice = entry.settings.limits.drain_notice,
-               .finish = entry.settings.limits.drain_timeout}) {}
+               .finish = entry.settings.limits.drain_timeout}) {
+    entry.drain_hooks.push_back({"config", [this] { return config.Leave(); }});
+  }
 
   void WaitForSignal();
   void RequestStop();
@@ -191,7 +195,8 @@
   LogEvent(Severity::kInfo, "listening")
       .With("name", state_->entry.settings.name)
       .With("callers", state_->callers.address())
-      .With("operators", state_->operators.address());
+      .With("operators", state_->operators.address())
+      .With("peers", state_->config.peer_address());
   std::vector<std::jthread> workers;
   for (std::uint32_t i = 1; i < state_->entry.settings.limits.workers; ++i) {
     workers.emplace_back([this] { state_->context.run(); });
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -17,6 +17,8 @@
 
 constexpr int kMostThreads = 16;
 constexpr std::uint32_t kMostHistory = 100;
+constexpr int kMostEdits = 1'000;
+constexpr std::size_t kMostNote = 4'096;
 constexpr std::chrono::milliseconds kWatchPoll{500};
 
 grpc::StatusCode StatusCodeOf(Errc code) {
@@ -42,6 +44,31 @@
   }
 }
 
+bool IsKind(v1::Kind kind) {
+  return v1::Kind_IsValid(kind) && kind != v1::KIND_UNSPECIFIED;
+}
+
+/// Checks what the schema alone does not rule out.
+std::optional<Failure> CheckEdits(const v1::ApplyRequest& request) {
+  if (request.edits_size() > kMostEdits) {
+    return Failure{.code = Errc::kTooLarge, .where = "edits"};
+  }
+  if (request.note().size() > kMostNote) {
+    return Failure{.code = Errc::kTooLarge, .where = "note"};
+  }
+  for (int i = 0; i < request.edits_size(); ++i) {
+    const std::string where = "edits[" + std::to_string(i) + "]";
+    if (!IsKind(request.edits(i).kind())) {
+      return Failure{.code = Errc::kInvalidChange, .where = where + ".kind"};
+    }
+    if (request.edits(i).resource().name().empty()) {
+      return Failure{.code = Errc::kInvalidChange,
+                     .where = where + ".resource.name"};
+    }
+  }
+  return std::nullopt;
+}
+
 class Service final : public v1::Operator::Service {
  public:
   Service(EntryState& state, ConfigService& config)
@@ -56,6 +83,12 @@
     if (!author) {
       return ToStatus(author.error());
     }
+    if (!IsKind(request->kind())) {
+      return ToStatus({.code = Errc::kMalformed, .where = "kind"});
+    }
+    if (request->name().empty()) {
+      return ToStatus({.code = Errc::kMalformed, .where = "name"});
+    }
     const ConfigurationPtr config = state_.config.current();
     reply->set_revision(config->revision().value());
     const v1::Resource* found = config->Find(request->kind(), request->name());
@@ -73,6 +106,9 @@
     if (!author) {
       return ToStatus(author.error());
     }
+    if (!IsKind(request->kind()) && request->kind() != v1::KIND_UNSPECIFIED) {
+      return ToStatus({.code = Errc::kMalformed, .where = "kind"});
+    }
     const ConfigurationPtr config = state_.config.current();
     reply->set_revision(config->revision().value());
     for (const v1::Resource* resource : config->List(request->kind())) {
@@ -88,6 +124,9 @@
     if (!author) {
       return ToStatus(author.error());
     }
+    if (auto failure = CheckEdits(*request)) {
+      return ToStatus(*failure);
+    }
     ChangeRequest change;
     change.edits = {request->edits().begin(), request->edits().end()};
     change.expected = Revision(request->expected_revision());
@@ -204,7 +243,7 @@
     const EndpointTable::View loads = state_.endpoints.Snapshot(now);
     reply->set_revision(config->revision().value());
     reply->set_daemon(state_.settings.name);
-    reply->set_config_confirmed(state_.config.confirmed_at().has_value());
+    reply->set_config_confirmed(state_.permit.IsOpen(now));
     if (const auto confirmed = state_.config.confirmed_at()) {
       reply->set_config_age_ms(
           std::chrono::duration_cast<std::chrono::milliseconds>(now -
@@ -236,14 +275,40 @@
     self->set_name(state_.settings.name);
     self->set_data_center(state_.settings.data_center);
     self->set_region(state_.settings.region);
-    self->set_peer_address(state_.settings.listen.peers);
+    self->set_peer_address(config_.peer_address());
     self->set_revision(config->revision().value());
     self->set_draining(state_.draining);
     self->set_alive(true);
+    AddMembers(now, *reply);
     return grpc::Status::OK;
   }
 
  private:
+  /// Lists the other daemons by the membership view.
+  void AddMembers(TimePoint now, v1::StateReply& reply) {
+    for (const MemberState& member : config_.Members()) {
+      v1::DaemonState* out = reply.add_daemons();
+      out->set_name(member.info.name);
+      out->set_data_center(member.info.data_center);
+      out->set_region(member.info.region);
+      out->set_peer_address(member.info.address);
+      out->set_revision(member.status.revision.value());
+      out->set_draining(member.status.draining);
+      out->set_alive(member.is_alive);
+      if (member.made_at) {
+        out->set_age_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - *member.made_at)
+                            .count());
+      }
+    }
+    for (const v1::DaemonState& daemon : reply.daemons()) {
+      reply.set_daemons_alive(reply.daemons_alive() + (daemon.alive() ? 1 : 0));
+      const bool has_it = daemon.revision() >= reply.revision();
+      reply.set_daemons_in_force(reply.daemons_in_force() +
+                                 (daemon.alive() && has_it ? 1 : 0));
+    }
+  }
+
   /// The operator's name, recognized by the bearer token.
   Result<std::string> Author(const grpc::ServerContext& context) const {
     constexpr std::string_view kBearer = "Bearer ";
@@ -292,6 +357,7 @@
     v1::Refusal refusal;
     refusal.set_type(std::string(ToString(failure.code)));
     refusal.set_where(failure.where);
+    refusal.set_outcome(std::string(ToString(failure.outcome)));
     const Revision revision = state_.config.current()->revision();
     refusal.set_current_revision(revision.value());
     if (failure.code == Errc::kConflict && revision.value() > 0) {
