--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -418,6 +418,10 @@
       return;
     }
     tracking.suspects.AddNamed(*named);
+    if (failure.code == Errc::kEndpointLeaving) {
+      endpoints_.SetLeaving(named->endpoint, true);
+      return;
+    }
     if (failure.code != Errc::kLayerRangeChanged) {
       endpoints_.Report(named->endpoint, EndpointVerdict::kBad, clock_.Now());
     }
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -8,6 +8,7 @@
 #include <grpcpp/resource_quota.h>
 
 #include "impl/rollback_edits.h"
+#include "sycamoreford/adapters/metrics_message.h"
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/v1/operator.grpc.pb.h"
 
@@ -218,6 +219,18 @@
     return grpc::Status::OK;
   }
 
+  grpc::Status Metrics(grpc::ServerContext* context,
+                       const v1::MetricsRequest* /*request*/,
+                       v1::MetricsReply* reply) override {
+    auto author = Author(*context);
+    if (!author) {
+      return ToStatus(author.error());
+    }
+    *reply = ToMessage(state_.metrics.Snapshot());
+    reply->set_daemon(state_.settings.name);
+    return grpc::Status::OK;
+  }
+
   grpc::Status State(grpc::ServerContext* context,
                      const v1::StateRequest* /*request*/,
                      v1::StateReply* reply) override {
@@ -237,6 +250,14 @@
                                                                 *confirmed)
               .count());
     }
+    const DrainState drain = state_.drain_state;
+    reply->set_drain_state(std::string(ToString(drain)));
+    if (drain != DrainState::kServing) {
+      reply->set_drain_bound_ms(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              state_.drain_bound.load() - now)
+              .count());
+    }
     for (const v1::Resource* pool : config->List(v1::KIND_POOL)) {
       for (const v1::Endpoint& endpoint : pool->pool().endpoints()) {
         const EndpointLoad load = loads.LoadOf(EndpointId(endpoint.name()));
--- a/src/adapters/service_handler.cc
+++ b/src/adapters/service_handler.cc
@@ -112,6 +112,8 @@
     Chain chain;
     chain.push_back({id, endpoint->address(), LayerRange()});
     const ChainHold hold(state.endpoints, chain);
+    caller.timer->OnDispatched(state.clock.Now());
+    caller.timer->SetAttempts(caller.timer->attempts() + 1);
     auto answer = co_await FetchHttp(endpoint->address(), call.request,
                                      call.timeout, kAnswerLimit);
     if (answer) {
