Let a stage run the layer range that it checked

Cause: the stand-in checked its range, waited for its turn, then ran whatever range it had by then, so a range changed in between gave a wrong token (seen in stage_failure_test, section "its layers change under the chain", twice under ctest). Ruled out: the router, whose answer equalled what the stand-in sent. After: the test case passes three times of three; the test is unchanged.

--- a/tests/fakes/fake_stage.cc
+++ b/tests/fakes/fake_stage.cc
@@ -229,6 +229,9 @@
       (!begins && position != next)) {
     throw StageFailed(address());
   }
+  // The range checked above is the one that runs, should it change meanwhile.
+  const std::uint32_t first = options_.first_layer;
+  const std::uint32_t end = options_.end_layer;
   newest = attempt;
   next = position + 1;
   co_await Occupy(begins ? 1 + position / kPrefillSpeed : 1);
@@ -236,9 +239,8 @@
   if (records_.size() > kMostRecords) {
     records_.pop_front();
   }
-  const std::uint64_t activation =
-      FakeModel::RunLayers(step.at("activation").to_number<std::uint64_t>(),
-                           options_.first_layer, options_.end_layer);
+  const std::uint64_t activation = FakeModel::RunLayers(
+      step.at("activation").to_number<std::uint64_t>(), first, end);
   if (chain.size() == 1) {
     co_return FakeModel::Sample(activation);
   }
