--- a/tests/fakes/scripted_engine.h
+++ b/tests/fakes/scripted_engine.h
@@ -207,6 +207,7 @@
         return EngineEvent(token);
       case EngineFault::kCrossed:
         token.request = end.request = RequestId("another");
+        token.text = " another's";
         break;
       case EngineFault::kSkipped:
         token.position = TokenPosition(position + 1);
