Let a stand-in stage run the layers that it checked

Cause: a step checked its layer range, waited for its turn, and then ran whatever range the stage had by then. A range changed in between made a step run the wrong layers under the right name, which no router can see.

Ruled out: a fault of the chain or of the resume; the tests are unchanged.

--- a/tests/fakes/fake_stage.cc
+++ b/tests/fakes/fake_stage.cc
@@ -12,6 +12,7 @@
 
 #include "fakes/fake_model.h"
 #include "impl/parse_address.h"
+#include "sycamoreford/core/layer_range.h"
 
 namespace sycamoreford::fakes {
 
@@ -231,6 +232,8 @@
   }
   newest = attempt;
   next = position + 1;
+  // A step runs the layers that it was checked for.
+  const LayerRange layers{options_.first_layer, options_.end_layer};
   co_await Occupy(begins ? 1 + position / kPrefillSpeed : 1);
   records_.push_back({request, attempt, position});
   if (records_.size() > kMostRecords) {
@@ -238,7 +241,7 @@
   }
   const std::uint64_t activation =
       FakeModel::RunLayers(step.at("activation").to_number<std::uint64_t>(),
-                           options_.first_layer, options_.end_layer);
+                           layers.first, layers.end);
   if (chain.size() == 1) {
     co_return FakeModel::Sample(activation);
   }
