--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -213,6 +213,7 @@
   }
   SECTION("more connections than allowed are told so") {
     std::vector<std::unique_ptr<RawConnection>> held;
+    held.reserve(30);
     for (int i = 0; i < 30; ++i) {
       held.push_back(std::make_unique<RawConnection>(stand.callers(0)));
     }
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -60,6 +60,7 @@
     const auto story = *Stories(4);
     RequestMetrics one(100);
     std::vector<std::unique_ptr<RequestMetrics>> daemons;
+    daemons.reserve(3);
     for (int i = 0; i < 3; ++i) {
       daemons.push_back(std::make_unique<RequestMetrics>(100));
     }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -97,7 +97,7 @@
               "limits.workers", "limits.y", "operators"});
   }
   SECTION("what is no JSON is one fault with its place") {
-    for (const std::string text :
+    for (const std::string& text :
          {std::string(), std::string("{"), std::string("[1"),
           Example() + "trailing", Example() + "{}", std::string(5000, '[')}) {
       const ParsedSettings parsed = ParseSettings(text);
