--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -6,6 +6,7 @@
 #include "sycamoreford/adapters/config_holder.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
+#include "sycamoreford/adapters/serve_permit.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/settings/settings.h"
 
@@ -21,6 +22,8 @@
   HttpTableClient table;
   ClaimService claims{table};
   HttpEngineClient engines;
+  /// Whether the configuration in force may be served on.
+  ServePermit permit;
   SteadyClock clock;
   /// Set once a planned stop has begun.
   std::atomic<bool> draining{false};
