Cut the plain service's connections within an answer

The stand-in now begins an answer and leaves it without its end. A cut before any byte of the answer is no longer covered there; a killed daemon or replica still is.

--- a/tests/fakes/service_main.cc
+++ b/tests/fakes/service_main.cc
@@ -37,10 +37,12 @@
     } else if (request.target == "/v1/state") {
       response.body = R"({"queue":0,"leaving":false})";
     } else if (mode_ == "cut_before") {
+      co_await Cut(exchange);
       co_return;
     } else {
       co_await Run(request, response);
       if (mode_ == "cut_after") {
+        co_await Cut(exchange);
         co_return;
       }
     }
@@ -48,6 +50,13 @@
   }
 
  private:
+  /// Ends the connection within an answer; an exchange without any answer
+  /// would be given one by the server.
+  static asio::awaitable<void> Cut(HttpExchange& exchange) {
+    HttpResponse header;
+    co_await exchange.BeginStream(header);
+  }
+
   asio::awaitable<void> Run(const HttpRequest& request,
                             HttpResponse& response) {
     std::string call(request.fields.Get("x-call"));
--- a/tests/service_failure_test.cc
+++ b/tests/service_failure_test.cc
@@ -144,6 +144,7 @@
     REQUIRE(Says(Send(stand, 0, call), "unknown"));
     SetServices(stand, "up");
     const HttpResponse repeat = Send(stand, 1, call);
+    INFO(repeat.body);
     REQUIRE(Says(repeat, "outcome_unknown"));
     REQUIRE(Ran(stand, "c1") == 0);
   }
