--- a/daemons/sycamorectl/main.cc
+++ b/daemons/sycamorectl/main.cc
@@ -391,7 +391,11 @@
               << " of " << reply.daemons_alive() << ", confirmed "
               << reply.config_age_ms() << " ms ago, "
               << (reply.config_confirmed() ? "serving" : "not serving")
-              << "\n\n";
+              << "\nplanned stop: " << reply.drain_state();
+    if (reply.drain_bound_ms() > 0) {
+      std::cout << ", at most " << reply.drain_bound_ms() << " ms more";
+    }
+    std::cout << "\n\n";
     PrintEndpoints(reply);
     PrintDaemons(reply);
     PrintLeases(reply);
--- a/include/sycamoreford/adapters/claim_service.h
+++ b/include/sycamoreford/adapters/claim_service.h
@@ -41,6 +41,10 @@
   /// Removes claims whose retention has passed, page by page, for ever.
   [[nodiscard]] boost::asio::awaitable<void> SweepForever();
 
+  /// Waits until no claim is active, at most for `time`.
+  [[nodiscard]] boost::asio::awaitable<void> WaitUntilDone(
+      std::chrono::milliseconds time);
+
   /// Number of claims whose work or record is not finished.
   [[nodiscard]] std::size_t active() const noexcept { return active_; }
 
--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -1,12 +1,17 @@
 #pragma once
 
 #include <atomic>
+#include <vector>
 
 #include "sycamoreford/adapters/claim_service.h"
 #include "sycamoreford/adapters/config_holder.h"
+#include "sycamoreford/adapters/drain_hook.h"
+#include "sycamoreford/adapters/entry_policy.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
 #include "sycamoreford/adapters/serve_permit.h"
+#include "sycamoreford/drain/drain_state.h"
+#include "sycamoreford/metrics/request_metrics.h"
 #include "sycamoreford/route/endpoint_table.h"
 #include "sycamoreford/settings/settings.h"
 
@@ -19,14 +24,21 @@
   const Settings settings;
   ConfigHolder config;
   EndpointTable endpoints;
+  EntryPolicy policy{endpoints};
   HttpTableClient table;
   ClaimService claims{table};
   HttpEngineClient engines;
   /// Whether the configuration in force may be served on.
   ServePermit permit;
   SteadyClock clock;
+  RequestMetrics metrics;
   /// Set once a planned stop has begun.
   std::atomic<bool> draining{false};
+  std::atomic<DrainState> drain_state{DrainState::kServing};
+  /// When the present step of the stop ends at the latest.
+  std::atomic<TimePoint> drain_bound{TimePoint::max()};
+  /// Add hooks before the daemon runs.
+  std::vector<DrainHook> drain_hooks;
   std::atomic<std::uint64_t> requests{0};
   std::atomic<std::uint64_t> failures{0};
 };
--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <concepts>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +44,13 @@
   /// The pool as of now, for attempts after the first; nothing when it no
   /// longer serves this version. May be empty.
   std::function<std::optional<v1::Pool>()> current_pool{};
+  /// Plan of `pool` and `version`; without one each attempt works it out.
+  std::shared_ptr<const PoolPlan> plan{};
+  /// Wishes for the chains, but for what to avoid.
+  ChainWish wish{};
+  /// Whether a further attempt over a chain may be made; `resumes` when tokens
+  /// were delivered. Empty allows all.
+  std::function<bool(const Chain& chain, bool resumes)> may_retry{};
 };
 
 /// Bounds of one answer.
@@ -86,6 +95,7 @@
     Outcome outcome = Outcome::kNotRun;
     Failure last{.code = Errc::kNoEndpoint, .where = "chain"};
     std::uint32_t fruitless = 0;
+    tokens_ = 0;
     while (fruitless < limits_.attempts) {
       if (clock_.Now() >= order.deadline) {
         last.code = Errc::kDeadlineExceeded;
@@ -96,6 +106,10 @@
         last = chain.error();
         break;
       }
+      if (progress.attempt().value() > 0 && order.may_retry &&
+          !order.may_retry(*chain, !progress.delivered().empty())) {
+        break;
+      }
       const std::size_t had = progress.delivered().size();
       Tracking tracking{progress, pace, suspects};
       auto ended = co_await RunAttempt(order, *chain, tracking, sink);
@@ -127,6 +141,9 @@
   /// Number of attempts that the last run took.
   [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
 
+  /// Number of tokens that the last run delivered.
+  [[nodiscard]] std::uint32_t tokens() const noexcept { return tokens_; }
+
  private:
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
 
@@ -163,6 +180,42 @@
     }
   };
 
+  /// Plans chains for an order; uses its plan while the pool is the same.
+  template <LoadSource Loads>
+  class Planner {
+   public:
+    Planner(const AnswerOrder& order,
+            const v1::Pool& pool,
+            Attempt attempt,
+            const Loads& loads)
+        : loads_(loads),
+          plan_(HasPlanOf(order, pool)
+                    ? order.plan
+                    : std::make_shared<const PoolPlan>(
+                          PoolPlan::Compute(pool, order.version))),
+          wish_(order.wish) {
+      wish_.random += attempt.value();
+    }
+
+    [[nodiscard]] Result<Chain> operator()(
+        const std::set<EndpointId>& avoid) const {
+      ChainWish wish = wish_;
+      wish.avoid = avoid;
+      return PlanChain(*plan_, loads_, wish);
+    }
+
+   private:
+    static bool HasPlanOf(const AnswerOrder& order, const v1::Pool& pool) {
+      return order.plan != nullptr &&
+             (&pool == &order.pool ||
+              pool.SerializeAsString() == order.pool.SerializeAsString());
+    }
+
+    const Loads& loads_;
+    std::shared_ptr<const PoolPlan> plan_;
+    ChainWish wish_;
+  };
+
   static Outcome Worse(Outcome one, Outcome other) noexcept {
     if (one == Outcome::kUnknown || other == Outcome::kUnknown) {
       return Outcome::kUnknown;
@@ -175,25 +228,28 @@
     co_return state.cancelled() != boost::asio::cancellation_type::none;
   }
 
-  /// The pool for the next attempt; later ones see ranges that have changed.
-  static v1::Pool PoolOf(const AnswerOrder& order,
-                         const AnswerProgress& progress) {
-    std::optional<v1::Pool> current;
+  /// The pool as of now; nothing when the order's own still holds.
+  static std::optional<v1::Pool> CurrentPool(const AnswerOrder& order,
+                                             const AnswerProgress& progress) {
     if (progress.attempt().value() > 0 && order.current_pool) {
-      current = order.current_pool();
+      return order.current_pool();
     }
-    return current ? *current : order.pool;
+    return std::nullopt;
   }
 
   /// A stream that has begun rather tries suspected stages than ends.
   Result<Chain> NextChain(const AnswerOrder& order,
                           const AnswerProgress& progress,
                           const StageSuspects& suspects) const {
-    const v1::Pool pool = PoolOf(order, progress);
+    const std::optional<v1::Pool> current = CurrentPool(order, progress);
+    const v1::Pool& pool = current ? *current : order.pool;
     const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
-    auto chain = suspects.Plan(pool, order.version, loads);
+    auto chain =
+        suspects.Plan(pool, Planner{order, pool, progress.attempt(), loads});
     if (!chain && !progress.delivered().empty()) {
-      chain = suspects.Plan(pool, order.version, Unsuspecting{loads});
+      const Unsuspecting trusting{loads};
+      chain = suspects.Plan(pool,
+                            Planner{order, pool, progress.attempt(), trusting});
     }
     return chain;
   }
@@ -242,6 +298,8 @@
     if (!stream) {
       co_return Explain(order, stream.error());
     }
+    const std::size_t before = progress.delivered().size();
+    TimePoint first_token{};
     Duration sending{0};
     for (;;) {
       const auto wait = TimeLeft(order, bound);
@@ -261,6 +319,10 @@
             tracking.pace.OnToken(now - arrived);
           }
           arrived = now;
+          if (progress.delivered().size() == before + 1) {
+            first_token = now;
+          }
+          ++tokens_;
           co_await sink.OnToken(progress.delivered().back());
           sending = clock_.Now() - now;
           if (ShouldMove(order, chain, tracking)) {
@@ -273,6 +335,8 @@
           break;
         case ProgressAction::kFinish:
           Report(chain, EndpointVerdict::kGood);
+          ReportPace(chain, arrived - first_token,
+                     progress.delivered().size() - before);
           co_return progress.finish_reason();
         case ProgressAction::kAbort:
           co_return Failure{.code = Errc::kBadEndpointAnswer,
@@ -296,15 +360,37 @@
     }
     StageSuspects suspects = tracking.suspects;
     suspects.AddChain(chain);
+    const auto current = CurrentPool(order, tracking.progress);
+    const v1::Pool& pool = current ? *current : order.pool;
+    const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
     const bool moves =
         suspects
-            .PlanClear(PoolOf(order, tracking.progress), order.version,
-                       endpoints_.Snapshot(clock_.Now()))
+            .PlanClear(pool,
+                       Planner{order, pool, tracking.progress.attempt(), loads})
             .has_value();
     tracking.pace.OnSlowSeen(moves);
     return moves;
   }
 
+  /// Tells the endpoints of a chain how its pace compares with what was
+  /// expected of it, over the time between the first and the last token.
+  void ReportPace(const Chain& chain, Duration taken, std::size_t tokens) {
+    if (tokens < 2) {
+      return;
+    }
+    double expected = 0;
+    for (const ChainStage& stage : chain) {
+      expected += stage.token_seconds * static_cast<double>(tokens - 1);
+    }
+    const double seconds = std::chrono::duration<double>(taken).count();
+    if (expected <= 0 || seconds <= 0) {
+      return;
+    }
+    for (const ChainStage& stage : chain) {
+      endpoints_.ReportPace(stage.endpoint, seconds / expected, clock_.Now());
+    }
+  }
+
   void Report(const Chain& chain, EndpointVerdict verdict) {
     for (const ChainStage& stage : chain) {
       endpoints_.Report(stage.endpoint, verdict, clock_.Now());
@@ -332,6 +418,10 @@
       return;
     }
     tracking.suspects.AddNamed(*named);
+    if (failure.code == Errc::kEndpointLeaving) {
+      endpoints_.SetLeaving(named->endpoint, true);
+      return;
+    }
     if (failure.code != Errc::kLayerRangeChanged) {
       endpoints_.Report(named->endpoint, EndpointVerdict::kBad, clock_.Now());
     }
@@ -342,6 +432,7 @@
   const TheClock& clock_;
   AnswerLimits limits_;
   std::uint32_t attempts_ = 0;
+  std::uint32_t tokens_ = 0;
 };
 
 }  // namespace sycamoreford
--- a/src/adapters/claim_service.cc
+++ b/src/adapters/claim_service.cc
@@ -25,6 +25,7 @@
 /// Most bytes of answers that wait to be kept.
 constexpr std::size_t kMostUnkeptBytes = 16UL * 1024 * 1024;
 constexpr std::chrono::milliseconds kSweepInterval = std::chrono::minutes(1);
+constexpr std::chrono::milliseconds kDonePoll{20};
 constexpr std::uint32_t kSweepPage = 100;
 
 using ReplyChannel =
@@ -154,6 +155,19 @@
   }
 }
 
+asio::awaitable<void> ClaimService::WaitUntilDone(
+    std::chrono::milliseconds time) {
+  const TimePoint bound = clock_.Now() + time;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (active_ > 0 && clock_.Now() < bound) {
+    timer.expires_after(kDonePoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  if (active_ > 0) {
+    LogEvent(Severity::kError, "claims_left").With("active", active_.load());
+  }
+}
+
 asio::awaitable<void> ClaimService::SweepForever() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   std::string after;
--- a/src/adapters/service_handler.cc
+++ b/src/adapters/service_handler.cc
@@ -144,6 +144,7 @@
 
 /// Sends the call until it was answered, or may not be sent again.
 asio::awaitable<Result<HttpResponse>> Dispatch(EntryState& state,
+                                               const CallerRequest& caller,
                                                const ServiceCall& call) {
   std::set<EndpointId> avoid;
   bool may_have_run = false;
@@ -159,9 +160,14 @@
       break;
     }
     const EndpointId id(endpoint->name());
+    if (!avoid.empty() && !state.policy.MayRetry(caller, id)) {
+      break;
+    }
     Chain chain;
     chain.push_back({id, endpoint->address(), LayerRange()});
     const ChainHold hold(state.endpoints, chain);
+    caller.timer->OnDispatched(state.clock.Now());
+    caller.timer->SetAttempts(caller.timer->attempts() + 1);
     auto answer = co_await SendTo(state, endpoint->address(), call);
     if (answer) {
       state.endpoints.Report(id, EndpointVerdict::kGood, state.clock.Now());
@@ -199,7 +205,7 @@
   claim_key.customer = caller.customer;
   claim_key.key = key;
   // The work goes on when the caller has gone: it owns what it needs.
-  auto work = [&state, call] { return Dispatch(state, call); };
+  auto work = [&state, caller, call] { return Dispatch(state, caller, call); };
   co_return co_await state.claims.RunOnce(claim_key, claim, work);
 }
 
@@ -212,10 +218,14 @@
   if (!call) {
     co_return call.error();
   }
+  auto ticket = co_await state.policy.AdmitCall(caller, call->route.pool());
+  if (!ticket) {
+    co_return ticket.error();
+  }
   const std::string key(exchange.request().fields.Get("idempotency-key"));
   Result<HttpResponse> answer = HttpResponse();
   if (key.empty()) {
-    answer = co_await Dispatch(state, *call);
+    answer = co_await Dispatch(state, caller, *call);
   } else {
     answer = co_await DispatchOnce(state, caller, *call, key);
   }
