--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <vector>
 
+#include "sycamoreford/adapters/claim_service.h"
 #include "sycamoreford/adapters/config_holder.h"
 #include "sycamoreford/adapters/drain_hook.h"
 #include "sycamoreford/adapters/entry_policy.h"
@@ -25,6 +26,7 @@
   EndpointTable endpoints;
   EntryPolicy policy{endpoints};
   HttpTableClient table;
+  ClaimService claims{table};
   HttpEngineClient engines;
   /// Whether the configuration in force may be served on.
   ServePermit permit;
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -26,6 +26,8 @@
 
 namespace {
 
+/// How long a planned stop waits for the ends of claims to reach the table.
+constexpr std::chrono::milliseconds kClaimsDrainTime{10'000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 
 HttpLimits LimitsOf(const Settings& settings) {
@@ -64,6 +66,9 @@
         drain({.notice = entry.settings.limits.drain_notice,
                .finish = entry.settings.limits.drain_timeout}) {
     entry.drain_hooks.push_back({"config", [this] { return config.Leave(); }});
+    entry.drain_hooks.push_back(
+        {"claims",
+         [this] { return entry.claims.WaitUntilDone(kClaimsDrainTime); }});
   }
 
   void WaitForSignal();
@@ -190,6 +195,8 @@
 
 bool EntryDaemon::Run() {
   state_->config.Start();
+  asio::co_spawn(state_->context, state_->entry.claims.SweepForever(),
+                 asio::detached);
   state_->watcher.Start();
   state_->WaitForSignal();
   LogEvent(Severity::kInfo, "listening")
