--- a/include/sycamoreford/stream/answer_driver.h
+++ b/include/sycamoreford/stream/answer_driver.h
@@ -244,12 +244,14 @@
     const std::optional<v1::Pool> current = CurrentPool(order, progress);
     const v1::Pool& pool = current ? *current : order.pool;
     const EndpointTable::View loads = endpoints_.Snapshot(clock_.Now());
-    auto chain =
-        suspects.Plan(pool, Planner{order, pool, progress.attempt(), loads});
+    auto chain = suspects.Plan(
+        pool,
+        Planner<EndpointTable::View>(order, pool, progress.attempt(), loads));
     if (!chain && !progress.delivered().empty()) {
       const Unsuspecting trusting{loads};
-      chain = suspects.Plan(pool,
-                            Planner{order, pool, progress.attempt(), trusting});
+      chain = suspects.Plan(
+          pool,
+          Planner<Unsuspecting>(order, pool, progress.attempt(), trusting));
     }
     return chain;
   }
@@ -366,7 +368,8 @@
     const bool moves =
         suspects
             .PlanClear(pool,
-                       Planner{order, pool, tracking.progress.attempt(), loads})
+                       Planner<EndpointTable::View>(
+                           order, pool, tracking.progress.attempt(), loads))
             .has_value();
     tracking.pace.OnSlowSeen(moves);
     return moves;
