Give engines declarative orders under a lease, and share limits over the fleet

Cause: leases existed as a decision only, nothing told engines what to load, each daemon acted as if it were the only one (customers' limits, slots and subsets), and the engines' queues were not used as hints.

Change: LeaseClient drives the lease machine over the table; OrderPlanner decides from the configuration and from what engines report; OrderService holds a lease for each pool and releases it in a planned stop; operators see leases in State. Membership tells each daemon its place, which the policy follows. The watcher's probes report queues. The stage stand-in refuses a chain whose stages hold different versions, in its prepare call.

Ruled out: one lease for all pools, since one daemon would then look at 600 engines, which does not fit 3 KB/s of control traffic.

Mutations of orders not run yet.

--- a/include/sycamoreford/adapters/config_service.h
+++ b/include/sycamoreford/adapters/config_service.h
@@ -13,6 +13,7 @@
 #include "sycamoreford/adapters/peer_channel.h"
 #include "sycamoreford/adapters/serve_permit.h"
 #include "sycamoreford/config/config_node.h"
+#include "sycamoreford/route/fleet_view.h"
 #include "sycamoreford/settings/settings.h"
 
 namespace sycamoreford {
@@ -46,10 +47,8 @@
     return channel_.address();
   }
 
-  /// Number of live daemons by the membership view, this one included.
-  [[nodiscard]] std::size_t live_daemons() const noexcept {
-    return live_daemons_;
-  }
+  /// This daemon's place among the live ones by the membership view.
+  [[nodiscard]] FleetView fleet() const noexcept { return fleet_; }
 
   /// Applies an operator's change; blocks the calling thread. Errors as for
   /// `ConfigNode::Apply`.
@@ -72,6 +71,7 @@
   void Send(const std::vector<PeerOrder>& orders);
   void Receive(const v1::PeerMessage& message);
   void Publish(const char* source);
+  [[nodiscard]] FleetView PlaceInFleet();
   boost::asio::awaitable<void> PollLoop();
   boost::asio::awaitable<void> PollOnce();
   boost::asio::awaitable<void> GossipLoop();
@@ -95,7 +95,7 @@
   const std::atomic<bool>& draining_;
   PeerChannel channel_;
   Node node_;
-  std::atomic<std::size_t> live_daemons_{1};
+  std::atomic<FleetView> fleet_{FleetView{}};
   bool table_was_up_ = true;
   ServeReason last_reason_ = ServeReason::kConfirmed;
   std::uint64_t malformed_ = 0;
--- a/include/sycamoreford/adapters/entry_state.h
+++ b/include/sycamoreford/adapters/entry_state.h
@@ -9,6 +9,7 @@
 #include "sycamoreford/adapters/entry_policy.h"
 #include "sycamoreford/adapters/http_engine_client.h"
 #include "sycamoreford/adapters/http_table_client.h"
+#include "sycamoreford/adapters/lease_views.h"
 #include "sycamoreford/adapters/serve_permit.h"
 #include "sycamoreford/drain/drain_state.h"
 #include "sycamoreford/metrics/request_metrics.h"
@@ -32,6 +33,7 @@
   ServePermit permit;
   SteadyClock clock;
   RequestMetrics metrics;
+  LeaseViews leases;
   /// Set once a planned stop has begun.
   std::atomic<bool> draining{false};
   std::atomic<DrainState> drain_state{DrainState::kServing};
--- a/src/adapters/config_service.cc
+++ b/src/adapters/config_service.cc
@@ -166,6 +166,19 @@
   Publish("table");
 }
 
+FleetView ConfigService::PlaceInFleet() {
+  FleetView fleet;
+  const std::string& name = node_.membership().self().name;
+  for (const MemberState& other :
+       node_.membership().Others(SteadyClock().Now())) {
+    if (other.is_alive) {
+      ++fleet.count;
+      fleet.index += other.info.name < name ? 1U : 0U;
+    }
+  }
+  return fleet;
+}
+
 asio::awaitable<void> ConfigService::GossipLoop() {
   asio::steady_timer timer(strand_);
   for (const std::string& seed : settings_.seeds) {
@@ -176,7 +189,7 @@
   }
   for (;;) {
     node_.Tick(draining_);
-    live_daemons_ = node_.membership().LiveCount(SteadyClock().Now());
+    fleet_ = PlaceInFleet();
     if (channel_.malformed() != malformed_) {
       malformed_ = channel_.malformed();
       LogEvent(Severity::kWarning, "peer_messages_malformed")
--- a/src/adapters/endpoint_watcher.cc
+++ b/src/adapters/endpoint_watcher.cc
@@ -1,5 +1,6 @@
 #include "sycamoreford/adapters/endpoint_watcher.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -53,6 +54,15 @@
   }
 }
 
+/// Requests at the endpoint, of all daemons together.
+std::optional<double> ParseQueue(const std::string& body) {
+  try {
+    return json::parse(body).at("queue").to_number<double>();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 EndpointWatcher::EndpointWatcher(asio::io_context& context, EntryState& state)
@@ -118,6 +128,12 @@
   if (!answer || answer->status != kStatusOk) {
     co_return;
   }
+  if (const auto queue = ParseQueue(answer->body)) {
+    const TimePoint now = state_.clock.Now();
+    const double own =
+        state_.endpoints.Snapshot(now).LoadOf(endpoint.id).in_flight;
+    state_.endpoints.ReportLoad(endpoint.id, std::max(*queue - own, 0.0), now);
+  }
   if (const auto leaving = ParseLeaving(answer->body)) {
     view_.OnState(endpoint.id, endpoint.address, *leaving, asked_at);
     Publish();
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -17,6 +17,7 @@
 #include "sycamoreford/adapters/entry_state.h"
 #include "sycamoreford/adapters/http_server.h"
 #include "sycamoreford/adapters/operator_server.h"
+#include "sycamoreford/adapters/order_service.h"
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/drain/drain_machine.h"
 
@@ -29,6 +30,7 @@
 /// How long a planned stop waits for the ends of claims to reach the table.
 constexpr std::chrono::milliseconds kClaimsDrainTime{10'000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::milliseconds kFleetInterval{500};
 
 HttpLimits LimitsOf(const Settings& settings) {
   HttpLimits limits;
@@ -54,6 +56,7 @@
                entry.permit,
                entry.draining),
         watcher(context, entry),
+        orders(context, entry),
         front(entry),
         callers(
             context,
@@ -65,6 +68,8 @@
         drain_strand(asio::make_strand(context)),
         drain({.notice = entry.settings.limits.drain_notice,
                .finish = entry.settings.limits.drain_timeout}) {
+    entry.drain_hooks.push_back(
+        {"leases", [this] { return orders.Release(); }});
     entry.drain_hooks.push_back({"config", [this] { return config.Leave(); }});
     entry.drain_hooks.push_back(
         {"claims",
@@ -72,6 +77,7 @@
   }
 
   void WaitForSignal();
+  asio::awaitable<void> FollowFleet();
   void RequestStop();
   asio::awaitable<void> Drain(DrainAction action);
   void Perform(DrainAction action);
@@ -82,6 +88,7 @@
   EntryState entry;
   ConfigService config;
   EndpointWatcher watcher;
+  OrderService orders;
   CallerFront front;
   HttpServer callers;
   OperatorServer operators;
@@ -92,6 +99,15 @@
   std::jthread closer;
 };
 
+asio::awaitable<void> EntryDaemon::State::FollowFleet() {
+  asio::steady_timer timer(context);
+  for (;;) {
+    entry.policy.SetFleet(config.fleet());
+    timer.expires_after(kFleetInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 void EntryDaemon::State::WaitForSignal() {
   signals.async_wait([this](auto error, auto) {
     if (!error) {
@@ -198,6 +214,8 @@
   asio::co_spawn(state_->context, state_->entry.claims.SweepForever(),
                  asio::detached);
   state_->watcher.Start();
+  state_->orders.Start();
+  asio::co_spawn(state_->context, state_->FollowFleet(), asio::detached);
   state_->WaitForSignal();
   LogEvent(Severity::kInfo, "listening")
       .With("name", state_->entry.settings.name)
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -271,6 +271,13 @@
         out->set_tokens_per_second(endpoint.tokens_per_second());
       }
     }
+    for (const LeaseView& view : state_.leases.Get()) {
+      v1::LeaseState* lease = reply->add_leases();
+      lease->set_name(view.name);
+      lease->set_holder(view.holder);
+      lease->set_fencing(view.fencing.value());
+      lease->set_remaining_ms(view.remaining.count());
+    }
     v1::DaemonState* self = reply->add_daemons();
     self->set_name(state_.settings.name);
     self->set_data_center(state_.settings.data_center);
--- /dev/null
+++ b/src/orders/desired_engine.cc
@@ -0,0 +1,52 @@
+#include "sycamoreford/orders/desired_engine.h"
+
+#include <optional>
+
+namespace sycamoreford {
+namespace {
+
+/// What the routes to a pool want; empty when there are none or they differ.
+std::optional<EngineState> WantedOf(const Configuration& configuration,
+                                    const std::string& pool) {
+  std::optional<EngineState> wanted;
+  for (const v1::Resource* resource : configuration.List(v1::KIND_ROUTE)) {
+    const v1::Route& route = resource->route();
+    if (route.pool() != pool) {
+      continue;
+    }
+    const v1::ModelVersion& version =
+        configuration.Find(v1::KIND_MODEL_VERSION, route.model_version())
+            ->model_version();
+    if (!wanted) {
+      wanted = EngineState{version.model(), version.version(), {}};
+    } else if (wanted->model != version.model() ||
+               wanted->version != version.version()) {
+      return std::nullopt;
+    }
+    if (!route.adapter().empty()) {
+      wanted->adapters.insert(route.adapter());
+    }
+  }
+  return wanted;
+}
+
+}  // namespace
+
+std::vector<DesiredEngine> DesiredEngines(const Configuration& configuration,
+                                          const std::string& pool) {
+  std::vector<DesiredEngine> engines;
+  const v1::Resource* found = configuration.Find(v1::KIND_POOL, pool);
+  const std::optional<EngineState> wanted = WantedOf(configuration, pool);
+  if (found == nullptr || !wanted) {
+    return engines;
+  }
+  for (const v1::Endpoint& endpoint : found->pool().endpoints()) {
+    if (endpoint.end_layer() > endpoint.first_layer()) {
+      engines.push_back({EndpointId(endpoint.name()), endpoint.address(),
+                         endpoint.checks_fencing(), *wanted});
+    }
+  }
+  return engines;
+}
+
+}  // namespace sycamoreford
--- a/tests/fakes/fake_stage.cc
+++ b/tests/fakes/fake_stage.cc
@@ -44,8 +44,12 @@
   return response;
 }
 
-json::object RestOfChain(const json::array& chain) {
-  return {{"chain", json::array(chain.begin() + 1, chain.end())}};
+/// What the next stage is asked to prepare for.
+json::object RestOfOrder(const json::value& order) {
+  const json::array& chain = order.at("chain").as_array();
+  return {{"model", order.at("model")},
+          {"version", order.at("version")},
+          {"chain", json::array(chain.begin() + 1, chain.end())}};
 }
 
 std::string FailureLine(const std::string& address) {
@@ -137,6 +141,11 @@
          Number(stage, "end") == options_.end_layer;
 }
 
+bool FakeStage::FitsVersion(const json::value& order) const {
+  return Text(order, "model") == options_.model &&
+         Text(order, "version") == options_.version;
+}
+
 asio::awaitable<void> FakeStage::Handle(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   if (request.target == "/fake/fault") {
@@ -166,11 +175,13 @@
     HttpResponse response;
     if (!FitsRange(chain.front())) {
       response = Refusal("layer_range_changed", address());
+    } else if (!FitsVersion(body)) {
+      response = Refusal("wrong_version", address());
     } else if (chain.size() > 1) {
       Link link(co_await asio::this_coro::executor, Text(chain[1], "address"));
       try {
         const json::value ready =
-            co_await link.Call("/v1/prepare", RestOfChain(chain));
+            co_await link.Call("/v1/prepare", RestOfOrder(body));
         response.body = json::serialize(ready);
       } catch (const StageFailed& failed) {
         response = Refusal("stage_unreachable", failed.what());
@@ -268,8 +279,7 @@
     co_await exchange.Respond(refusal);
     co_return;
   }
-  if (Text(order, "model") != options_.model ||
-      Text(order, "version") != options_.version) {
+  if (!FitsVersion(order)) {
     const HttpResponse refusal = Refusal("wrong_version", address());
     co_await exchange.Respond(refusal);
     co_return;
@@ -285,7 +295,7 @@
                                   Text(chain[1], "address"));
     try {
       const json::value ready =
-          co_await link->Call("/v1/prepare", RestOfChain(chain));
+          co_await link->Call("/v1/prepare", RestOfOrder(order));
       if (const json::value* error = ready.as_object().if_contains("error")) {
         const HttpResponse refusal =
             Refusal(Text(*error, "type"), Text(*error, "address"));
@@ -370,6 +380,9 @@
   if (const json::value* version = desired.if_contains("version")) {
     options_.version = json::value_to<std::string>(*version);
   }
+  if (const json::value* adapters = desired.if_contains("adapters")) {
+    adapters_ = json::value_to<std::vector<std::string>>(*adapters);
+  }
   return {};
 }
 
@@ -378,6 +391,7 @@
   response.body = json::serialize(
       json::object{{"model", options_.model},
                    {"version", options_.version},
+                   {"adapters", json::value_from(adapters_)},
                    {"first", options_.first_layer},
                    {"end", options_.end_layer},
                    {"queue", active_},
--- a/tests/fakes/fake_stage.h
+++ b/tests/fakes/fake_stage.h
@@ -100,6 +100,7 @@
   HttpResponse Ran() const;
   void SetFault(const Json& fault);
   [[nodiscard]] bool FitsRange(const Json& stage) const;
+  [[nodiscard]] bool FitsVersion(const Json& order) const;
 
   boost::asio::io_context& context_;
   StageOptions options_;
@@ -107,6 +108,7 @@
   bool leaving_ = false;
   std::uint64_t fencing_ = 0;
   std::string last_order_;
+  std::vector<std::string> adapters_;
   std::uint32_t active_ = 0;
   std::chrono::steady_clock::time_point free_at_{};
   std::deque<StageRecord> records_;
--- /dev/null
+++ b/tests/orders_test.cc
@@ -0,0 +1,268 @@
+// Orders bring every engine to the desired state, also past a holder that
+// wakes up and still believes.
+#include <thread>
+#include <vector>
+
+#include <rapidcheck.h>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "support/stand.h"
+#include "sycamoreford/orders/order_planner.h"
+
+namespace sycamoreford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using support::Fetch;
+using support::Stand;
+
+const EngineState kOld{"bell-llm", "7", {}};
+const EngineState kNew{"bell-llm", "8", {"rota"}};
+
+DesiredEngine Desired(const std::string& name, bool checks_fencing) {
+  return {EndpointId(name), "127.0.0.1:1", checks_fencing, kNew};
+}
+
+/// An engine that takes orders, some after checking their number.
+struct Engine {
+  bool checks_fencing = false;
+  EngineState state = kOld;
+  FencingToken newest{};
+  bool went_back = false;
+
+  void Take(const EngineOrder& order) {
+    if (checks_fencing && order.fencing < newest) {
+      return;
+    }
+    went_back = went_back || (checks_fencing && order.fencing < newest);
+    newest = std::max(newest, order.fencing);
+    state = order.state;
+  }
+};
+
+TEST_CASE("orders bring a pool to its desired state") {
+  OrderPlanner planner;
+  TimePoint now{};
+  const std::vector<DesiredEngine> desired{Desired("a", true),
+                                           Desired("b", true)};
+  planner.OnLeaseGained(FencingToken(1), now);
+
+  SECTION("an engine that has not told its state gets no order") {
+    REQUIRE_FALSE(planner.Next(desired, FencingToken(1), now).has_value());
+  }
+
+  SECTION("engines change one after another") {
+    planner.OnState(EndpointId("a"), kOld, now);
+    planner.OnState(EndpointId("b"), kOld, now);
+    const auto first = planner.Next(desired, FencingToken(1), now);
+    REQUIRE(first.has_value());
+    REQUIRE(first->endpoint == EndpointId("a"));
+    REQUIRE_FALSE(planner.Next(desired, FencingToken(1), now).has_value());
+    planner.OnState(EndpointId("a"), kNew, now);
+    const auto second = planner.Next(desired, FencingToken(1), now);
+    REQUIRE(second.has_value());
+    REQUIRE(second->endpoint == EndpointId("b"));
+
+    SECTION("and one without effect is given again") {
+      REQUIRE_FALSE(planner.Next(desired, FencingToken(1), now + seconds(29))
+                        .has_value());
+      REQUIRE(planner.Next(desired, FencingToken(1), now + seconds(31))
+                  .has_value());
+    }
+  }
+
+  SECTION("another number than the lease's gives no order") {
+    planner.OnState(EndpointId("a"), kOld, now);
+    REQUIRE_FALSE(planner.Next(desired, FencingToken(2), now).has_value());
+  }
+
+  SECTION("nothing is unloaded early where the number is ignored") {
+    const std::vector<DesiredEngine> ignoring{Desired("c", false)};
+    planner.OnState(EndpointId("c"), kOld, now);
+    REQUIRE_FALSE(
+        planner.Next(ignoring, FencingToken(1), now + seconds(39)).has_value());
+    REQUIRE(
+        planner.Next(ignoring, FencingToken(1), now + seconds(40)).has_value());
+  }
+
+  SECTION("an empty engine is loaded at once also where it is ignored") {
+    const std::vector<DesiredEngine> ignoring{Desired("c", false)};
+    planner.OnState(EndpointId("c"), EngineState{}, now);
+    REQUIRE(planner.Next(ignoring, FencingToken(1), now).has_value());
+  }
+
+  SECTION("the weight store's rate holds") {
+    int given = 0;
+    for (int second = 0; second < 60; ++second) {
+      now += seconds(1);
+      planner.OnState(EndpointId("a"), second % 2 == 0 ? kOld : kNew, now);
+      given += planner.Next(desired, FencingToken(1), now).has_value() ? 1 : 0;
+    }
+    REQUIRE(given <= 6);
+  }
+}
+
+/// Two daemons in turn; each may be paused between its check and its send.
+class World {
+ public:
+  World() {
+    for (const bool checks : {true, false, true, false}) {
+      const std::string name = std::to_string(engines_.size());
+      engines_.push_back({.checks_fencing = checks});
+      desired_.push_back(Desired(name, checks));
+    }
+  }
+
+  /// Moves the lease to the other daemon.
+  void MoveLease() {
+    holder_ = 1 - holder_;
+    token_ = FencingToken(token_.value() + 1);
+    planners_[holder_].OnLeaseGained(token_, now_);
+  }
+
+  void Act(bool is_paused_before_send) {
+    Look();
+    const auto order = planners_[holder_].Next(desired_, token_, now_);
+    if (!order) {
+      return;
+    }
+    if (is_paused_before_send) {
+      late_.push_back(*order);
+    } else {
+      Deliver(*order);
+    }
+  }
+
+  void SendLate(std::size_t index) {
+    if (!late_.empty()) {
+      const auto at =
+          late_.begin() + static_cast<std::ptrdiff_t>(index % late_.size());
+      Deliver(*at);
+      late_.erase(at);
+    }
+  }
+
+  /// An engine restarts empty.
+  void Restart(std::size_t index) {
+    engines_[index % engines_.size()].state = {};
+  }
+
+  void Pass(seconds time) { now_ += time; }
+
+  /// All late orders arrive, then the holder goes on undisturbed.
+  void Settle() {
+    while (!late_.empty()) {
+      SendLate(0);
+    }
+    for (int i = 0; i < 60; ++i) {
+      Pass(seconds(15));
+      Act(false);
+    }
+  }
+
+  [[nodiscard]] bool AllAsDesired() const {
+    return std::all_of(engines_.begin(), engines_.end(),
+                       [](const Engine& e) { return e.state == kNew; });
+  }
+  [[nodiscard]] bool AnyWentBack() const { return went_back_; }
+
+ private:
+  void Look() {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      planners_[holder_].OnState(desired_[i].endpoint, engines_[i].state, now_);
+    }
+  }
+
+  void Deliver(const EngineOrder& order) {
+    Engine& engine = engines_[std::stoul(order.endpoint.value())];
+    const bool is_old = order.fencing < engine.newest;
+    const EngineState before = engine.state;
+    engine.Take(order);
+    went_back_ = went_back_ ||
+                 (engine.checks_fencing && is_old && engine.state != before);
+  }
+
+  std::vector<Engine> engines_;
+  std::vector<DesiredEngine> desired_;
+  std::vector<OrderPlanner> planners_{2};
+  std::vector<EngineOrder> late_;
+  std::size_t holder_ = 0;
+  FencingToken token_{0};
+  TimePoint now_{};
+  bool went_back_ = false;
+};
+
+TEST_CASE("holders that wake up late change nothing for good") {
+  REQUIRE(rc::check("orders settle", [] {
+    World world;
+    world.MoveLease();
+    const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::inRange<std::uint32_t>(0, 600));
+    for (const std::uint32_t step : steps) {
+      const std::uint32_t amount = step / 6;
+      switch (step % 6) {
+        case 0:
+          world.MoveLease();
+          break;
+        case 1:
+          world.Act(true);
+          break;
+        case 2:
+          world.Act(false);
+          break;
+        case 3:
+          world.SendLate(amount);
+          break;
+        case 4:
+          world.Restart(amount);
+          break;
+        default:
+          world.Pass(seconds(amount));
+          break;
+      }
+    }
+    world.Settle();
+    RC_ASSERT(world.AllAsDesired());
+    RC_ASSERT(!world.AnyWentBack());
+  }));
+}
+
+std::string VersionOf(Stand& stand, const std::string& stage) {
+  HttpRequest request;
+  request.target = "/v1/state";
+  const auto state = Fetch(stand.stage(stage).address, request);
+  return state ? boost::json::value_to<std::string>(
+                     boost::json::parse(state->body).at("version"))
+               : "";
+}
+
+TEST_CASE("a new version reaches every stage, and answers go on after it") {
+  Stand stand({.daemons = 2});
+  REQUIRE(stand.Apply(0,
+                      R"({"edits":[
+{"verb":"VERB_PUT","kind":"KIND_MODEL_VERSION","resource":{"name":"bell-llm-8","model_version":{"model":"bell-llm","version":"8","layers":12}}},
+{"verb":"VERB_PUT","kind":"KIND_ROUTE","resource":{"name":"bell-llm","route":{"pool":"bell","model_version":"bell-llm-8","max_tokens":2000}}}
+]})") == 0);
+  // Stages that ignore fencing numbers wait for the hold-off of 40 s first.
+  const auto bound = std::chrono::steady_clock::now() + seconds(150);
+  std::size_t changed = 0;
+  while (changed < 6 && std::chrono::steady_clock::now() < bound) {
+    std::this_thread::sleep_for(milliseconds(500));
+    changed = 0;
+    for (const std::string stage : {"a0", "a1", "a2", "b0", "b1", "b2"}) {
+      changed += VersionOf(stand, stage) == "8" ? 1 : 0;
+    }
+  }
+  REQUIRE(changed == 6);
+  const auto answer = Fetch(stand.callers(1), Stand::Chat("Ring", 20, false));
+  REQUIRE(answer.has_value());
+  REQUIRE(Stand::AnswerText(*answer) == Stand::ExpectedAnswer("Ring", 20));
+  std::string state;
+  REQUIRE(stand.Control(0, {"state", "--json"}, &state) == 0);
+  REQUIRE(state.find("pool/bell") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace sycamoreford
