--- a/tests/lease_client_test.cc
+++ b/tests/lease_client_test.cc
@@ -26,7 +26,7 @@
 void Step(Client& client, const std::string& write_id) {
   boost::asio::io_context context;
   boost::asio::co_spawn(context, client.Step(write_id),
-                        [](std::exception_ptr error) {
+                        [](const std::exception_ptr& error) {
                           if (error) {
                             std::rethrow_exception(error);
                           }
@@ -103,7 +103,8 @@
   Client& holder = rivals.a.Token() ? rivals.a : rivals.b;
   Client& other = rivals.a.Token() ? rivals.b : rivals.a;
   boost::asio::io_context context;
-  boost::asio::co_spawn(context, holder.Release(), [](std::exception_ptr) {});
+  boost::asio::co_spawn(context, holder.Release(),
+                        [](const std::exception_ptr&) {});
   context.run();
   REQUIRE_FALSE(holder.Token().has_value());
   for (int second = 0; second < 15; ++second) {
