--- /dev/null
+++ b/bench/daemon_bench.cc
@@ -0,0 +1,97 @@
+// Processor time, memory and threads of one real daemon: idle, and for each
+// request and token at three lengths of answers. For docs/CAPACITY.md.
+//   daemon_bench [IDLE_SECONDS]
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <unistd.h>
+
+#include "support/stand.h"
+
+namespace sycamoreford {
+namespace {
+
+using support::Fetch;
+using support::Stand;
+
+constexpr int kParallel = 4;
+constexpr int kRounds = 10;
+
+/// Processor time of a process so far, in microseconds.
+double CpuMicroseconds(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  std::istringstream rest(text.substr(text.rfind(')') + 2));
+  std::string field;
+  double ticks = 0;
+  for (int i = 0; i < 13 && rest >> field; ++i) {
+    if (i >= 11) {
+      ticks += std::stod(field);
+    }
+  }
+  return ticks * 1e6 / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::string StatusLine(pid_t pid, const std::string& key) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(key)) {
+      return line.substr(key.size() + 1);
+    }
+  }
+  return "?";
+}
+
+/// Sends answers of `tokens` tokens, a few at a time; returns how many came.
+int SendAnswers(Stand& stand, std::uint32_t tokens) {
+  int whole = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::future<bool>> answers;
+    for (int i = 0; i < kParallel; ++i) {
+      answers.push_back(std::async(std::launch::async, [&stand, tokens] {
+        const auto answer =
+            Fetch(stand.callers(0), Stand::Chat("Ring", tokens, true));
+        return answer && Stand::AnswerText(*answer).has_value();
+      }));
+    }
+    for (auto& answer : answers) {
+      whole += answer.get() ? 1 : 0;
+    }
+  }
+  return whole;
+}
+
+void Measure(int idle_seconds) {
+  Stand stand({.daemons = 3,
+               .table = R"("poll_interval_ms": 3000, "timeout_ms": 1500)"});
+  const pid_t pid = stand.daemon(0).pid();
+  const double before = CpuMicroseconds(pid);
+  std::this_thread::sleep_for(std::chrono::seconds(idle_seconds));
+  const double idle = (CpuMicroseconds(pid) - before) / 1e6 / idle_seconds;
+  std::printf("idle cpu_percent=%.3f rss=%s threads=%s\n", idle * 100,
+              StatusLine(pid, "VmRSS:").c_str(),
+              StatusLine(pid, "Threads:").c_str());
+  for (const std::uint32_t tokens : {25U, 100U, 400U}) {
+    const double start = CpuMicroseconds(pid);
+    const int whole = SendAnswers(stand, tokens);
+    const double used = CpuMicroseconds(pid) - start;
+    std::printf("tokens=%u whole=%d of %d cpu_us_per_request=%.0f rss=%s\n",
+                tokens, whole, kParallel * kRounds,
+                used / (kParallel * kRounds),
+                StatusLine(pid, "VmRSS:").c_str());
+  }
+}
+
+}  // namespace
+}  // namespace sycamoreford
+
+int main(int argc, char** argv) {
+  sycamoreford::Measure(argc > 1 ? std::stoi(argv[1]) : 20);
+  return 0;
+}
--- a/tests/service_failure_test.cc
+++ b/tests/service_failure_test.cc
@@ -158,8 +158,12 @@
   }
 
   SECTION("no replica listens") {
-    stand.service(0).process.Signal(SIGKILL);
-    stand.service(1).process.Signal(SIGKILL);
+    for (const std::size_t replica : {0U, 1U}) {
+      // A process that is dying still takes connections for a moment.
+      stand.service(replica).process.Signal(SIGKILL);
+      REQUIRE(stand.service(replica).process.Wait(std::chrono::seconds(10)) ==
+              -SIGKILL);
+    }
     const HttpResponse refused = Send(stand, 0, call);
     REQUIRE(refused.status == 503);
     REQUIRE(Says(refused, "not_run"));
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -25,6 +25,9 @@
   /// Everything that it has written so far.
   [[nodiscard]] std::string Output() const;
 
+  /// Its process id.
+  [[nodiscard]] pid_t pid() const noexcept { return pid_; }
+
   /// Sends a signal.
   void Signal(int number) const;
 
