Keep the fleet's view, a member's message and an endpoint's state in one form each

Cause: reading the whole change once more showed four things written twice. The policy packed FleetView into an integer beside the configuration service's atomic of the same type; the daemon's row in the table built v1::Member line by line as membership does; each probe parsed the endpoint's state twice and copied the whole endpoint table to read one count; an engine in orders_test held a flag that nothing read and that could not become true.

Change: one atomic type, ToMessage shared, one parse, EndpointTable::InFlight. Ruled out: merging the exhaustive switches that look alike (claims, drain, gate), whose likeness is their states.

--- a/include/sycamoreford/adapters/entry_policy.h
+++ b/include/sycamoreford/adapters/entry_policy.h
@@ -68,7 +68,7 @@
   PlanCache plans_;
   RetryBudgets retries_;
   AdmissionGate gate_;
-  std::atomic<std::uint64_t> fleet_{1};
+  std::atomic<FleetView> fleet_{FleetView{}};
   std::atomic<std::uint64_t> kept_revision_{0};
 };
 
--- a/include/sycamoreford/membership/member_info.h
+++ b/include/sycamoreford/membership/member_info.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "sycamoreford/core/strong_id.h"
+#include "sycamoreford/v1/peer.pb.h"
 
 namespace sycamoreford {
 
@@ -25,4 +26,7 @@
   std::uint64_t incarnation = 0;
 };
 
+/// The message that introduces a member, in gossip and in the table.
+[[nodiscard]] v1::Member ToMessage(const MemberInfo& info);
+
 }  // namespace sycamoreford
--- a/include/sycamoreford/route/endpoint_table.h
+++ b/include/sycamoreford/route/endpoint_table.h
@@ -80,6 +80,9 @@
   /// was empty.
   void Keep(const std::set<EndpointId>& configured, TimePoint now);
 
+  /// Requests of this daemon that run at an endpoint now.
+  [[nodiscard]] std::uint32_t InFlight(const EndpointId& id) const;
+
   /// Number of endpoints that it holds.
   [[nodiscard]] std::size_t size() const;
 
--- a/src/adapters/config_service.cc
+++ b/src/adapters/config_service.cc
@@ -39,16 +39,6 @@
   return kDaemonPrefix + name;
 }
 
-v1::Member RowOf(const MemberInfo& info) {
-  v1::Member member;
-  member.set_name(info.name);
-  member.set_address(info.address);
-  member.set_data_center(info.data_center);
-  member.set_region(info.region);
-  member.set_incarnation(info.incarnation);
-  return member;
-}
-
 }  // namespace
 
 ConfigService::ConfigService(asio::io_context& context,
@@ -217,7 +207,8 @@
 asio::awaitable<bool> ConfigService::WriteRow() {
   TableTransaction transaction;
   const MemberInfo& self = node_.membership().self();
-  transaction.writes.push_back({RowKey(self.name), ToTableJson(RowOf(self))});
+  transaction.writes.push_back(
+      {RowKey(self.name), ToTableJson(ToMessage(self))});
   // A repeated write is harmless, so a lost answer is tried again.
   auto written = co_await table_.Commit(transaction);
   co_return written.has_value();
--- a/src/adapters/endpoint_watcher.cc
+++ b/src/adapters/endpoint_watcher.cc
@@ -46,21 +46,29 @@
   }
 }
 
-std::optional<bool> ParseLeaving(const std::string& body) {
-  try {
-    return json::parse(body).at("leaving").as_bool();
-  } catch (const std::exception&) {
-    return std::nullopt;
+/// What an endpoint says of itself; each part only when it is well-formed.
+struct StateAnswer {
+  std::optional<bool> leaving;
+  /// Requests there, of all daemons together.
+  std::optional<double> queue;
+};
+
+StateAnswer ParseState(const std::string& body) {
+  StateAnswer answer;
+  boost::system::error_code error;
+  const json::value state = json::parse(body, error);
+  if (error || !state.is_object()) {
+    return answer;
   }
-}
-
-/// Requests at the endpoint, of all daemons together.
-std::optional<double> ParseQueue(const std::string& body) {
-  try {
-    return json::parse(body).at("queue").to_number<double>();
-  } catch (const std::exception&) {
-    return std::nullopt;
+  const json::value* leaving = state.as_object().if_contains("leaving");
+  if (leaving != nullptr && leaving->is_bool()) {
+    answer.leaving = leaving->as_bool();
+  }
+  const json::value* queue = state.as_object().if_contains("queue");
+  if (queue != nullptr && queue->is_number()) {
+    answer.queue = queue->to_number<double>();
   }
+  return answer;
 }
 
 }  // namespace
@@ -128,14 +136,15 @@
   if (!answer || answer->status != kStatusOk) {
     co_return;
   }
-  if (const auto queue = ParseQueue(answer->body)) {
+  const StateAnswer said = ParseState(answer->body);
+  if (said.queue) {
     const TimePoint now = state_.clock.Now();
-    const double own =
-        state_.endpoints.Snapshot(now).LoadOf(endpoint.id).in_flight;
-    state_.endpoints.ReportLoad(endpoint.id, std::max(*queue - own, 0.0), now);
+    const double own = state_.endpoints.InFlight(endpoint.id);
+    state_.endpoints.ReportLoad(endpoint.id, std::max(*said.queue - own, 0.0),
+                                now);
   }
-  if (const auto leaving = ParseLeaving(answer->body)) {
-    view_.OnState(endpoint.id, endpoint.address, *leaving, asked_at);
+  if (said.leaving) {
+    view_.OnState(endpoint.id, endpoint.address, *said.leaving, asked_at);
     Publish();
   }
 }
--- a/src/adapters/entry_policy.cc
+++ b/src/adapters/entry_policy.cc
@@ -25,7 +25,6 @@
 constexpr std::chrono::milliseconds kDefaultWait{2'000};
 /// Bytes of a prompt that decide where it finds a cached prefix.
 constexpr std::size_t kPrefixBytes = 256;
-constexpr unsigned kIndexShift = 32;
 
 std::uint64_t RandomNumber() {
   thread_local std::mt19937_64 generator(std::random_device{}());
@@ -52,13 +51,11 @@
 }  // namespace
 
 void EntryPolicy::SetFleet(const FleetView& fleet) {
-  fleet_ = (std::uint64_t{fleet.index} << kIndexShift) | fleet.count;
+  fleet_ = fleet;
 }
 
 FleetView EntryPolicy::fleet() const {
-  const std::uint64_t packed = fleet_;
-  return {static_cast<std::uint32_t>(packed >> kIndexShift),
-          static_cast<std::uint32_t>(packed)};
+  return fleet_;
 }
 
 std::shared_ptr<const PlanSet> EntryPolicy::Plans(
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -50,16 +50,6 @@
   gossip.add_flags(FlagsOf(status));
 }
 
-v1::Member ToMessage(const MemberInfo& info) {
-  v1::Member member;
-  member.set_name(info.name);
-  member.set_address(info.address);
-  member.set_data_center(info.data_center);
-  member.set_region(info.region);
-  member.set_incarnation(info.incarnation);
-  return member;
-}
-
 MemberInfo FromMessage(const v1::Member& member) {
   return {.name = member.name(),
           .address = member.address(),
@@ -70,6 +60,16 @@
 
 }  // namespace
 
+v1::Member ToMessage(const MemberInfo& info) {
+  v1::Member member;
+  member.set_name(info.name);
+  member.set_address(info.address);
+  member.set_data_center(info.data_center);
+  member.set_region(info.region);
+  member.set_incarnation(info.incarnation);
+  return member;
+}
+
 MemberId MemberIdOf(const std::string& name) {
   return MemberId(
       static_cast<std::uint32_t>(XXH64(name.data(), name.size(), 0)));
--- a/src/route/endpoint_table.cc
+++ b/src/route/endpoint_table.cc
@@ -182,6 +182,12 @@
   }
 }
 
+std::uint32_t EndpointTable::InFlight(const EndpointId& id) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? 0 : found->second.in_flight;
+}
+
 std::size_t EndpointTable::size() const {
   const std::lock_guard lock(mutex_);
   return entries_.size();
--- a/tests/orders_test.cc
+++ b/tests/orders_test.cc
@@ -30,13 +30,11 @@
   bool checks_fencing = false;
   EngineState state = kOld;
   FencingToken newest{};
-  bool went_back = false;
 
   void Take(const EngineOrder& order) {
     if (checks_fencing && order.fencing < newest) {
       return;
     }
-    went_back = went_back || (checks_fencing && order.fencing < newest);
     newest = std::max(newest, order.fencing);
     state = order.state;
   }
