Repair gaps with redundant cards only, and look at blamed endpoints at once

Streams that had stalled on the card were moved only when its suspicion ended. Ruled out: memory (236 preemptions followed from the moves). Change: a card may fill a gap when all its layers have other holders; an endpoint that a refusal blames is asked at once, and again before its suspicion ends.

--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <utility>
 
@@ -24,44 +25,62 @@
   EndpointInspector(RelayState& state, Control& control, const TheClock& clock)
       : state_(state), control_(control), clock_(clock) {}
 
-  /// Watches the chains; does not return.
+  /// Watches the chains and the suspected endpoints; does not return.
   boost::asio::awaitable<void> Watch() {
     const auto executor = co_await boost::asio::this_coro::executor;
+    state_.SetInspector([this, executor](std::string id) {
+      boost::asio::co_spawn(executor, Inspect(std::move(id)),
+                            boost::asio::detached);
+    });
     for (;;) {
       co_await Pause(kInterval);
-      for (std::string& first : state_.silence().Silent(clock_.Now())) {
+      const TimePoint now = clock_.Now();
+      for (std::string& first : state_.silence().Silent(now)) {
         boost::asio::co_spawn(executor, Inspect(std::move(first)),
                               boost::asio::detached);
       }
+      for (const auto& [id, known] : state_.directory().endpoints()) {
+        const bool ends_soon = known.suspected_until > now &&
+                               known.suspected_until - now < kLookAhead;
+        if (ends_soon && !inspected_.contains(id)) {
+          boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+        }
+      }
     }
   }
 
  private:
   /// Time from one look at all chains to the next.
   static constexpr std::chrono::milliseconds kInterval{50};
+  /// Before the end of a suspicion the endpoint is asked; longer than it may
+  /// take to answer, so that a dead one is never used in between.
+  static constexpr std::chrono::milliseconds kLookAhead{500};
 
-  boost::asio::awaitable<void> Inspect(std::string first) {
-    const KnownEndpoint* known = state_.directory().Find(first);
-    if (known == nullptr) {
-      state_.OnEndpointLost(first, "not_listed", clock_.Now());
+  /// Asks an endpoint how it is, once at a time.
+  boost::asio::awaitable<void> Inspect(std::string id) {
+    const KnownEndpoint* known = state_.directory().Find(id);
+    if (known == nullptr || !inspected_.insert(id).second) {
       co_return;
     }
     const std::string address = known->record.address;
     const auto report = co_await control_.Report(address);
+    inspected_.erase(id);
     if (!report) {
-      state_.OnEndpointLost(first, "no_report", clock_.Now());
+      state_.OnEndpointLost(id, "no_report", clock_.Now());
       co_return;
     }
     for (const StalledRequest& stalled : report->stalled) {
       const KnownEndpoint* blamed =
           state_.directory().FindByAddress(stalled.address);
-      if (blamed != nullptr && blamed->IsUsable(clock_.Now())) {
-        const std::string id = blamed->record.id;
-        state_.OnEndpointLost(id, "stalls_chain", clock_.Now());
+      if (blamed != nullptr) {
+        const std::string blamed_id = blamed->record.id;
+        state_.OnEndpointLost(blamed_id, "stalls_chain", clock_.Now());
       }
     }
   }
 
+  /// Endpoints that are being asked.
+  std::set<std::string> inspected_;
   RelayState& state_;
   Control& control_;
   const TheClock& clock_;
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -623,7 +623,7 @@
                                              : blamed->record.id;
     LogNotRun(passage, id, head);
     if (blamed != nullptr) {
-      state_.directory().Suspect(id, clock_.Now());
+      state_.OnTrouble(id, clock_.Now());
     }
   }
 
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -70,6 +71,15 @@
   std::list<ActiveAttempt>::iterator Add(ActiveAttempt attempt);
   void Remove(std::list<ActiveAttempt>::iterator attempt);
 
+  /// Sets what is called with an endpoint that a request had trouble with.
+  void SetInspector(std::function<void(std::string)> inspect) {
+    inspect_ = std::move(inspect);
+  }
+
+  /// A request had trouble with an endpoint: it is not used for a while, and
+  /// looked at to learn whether it is lost.
+  void OnTrouble(const std::string& id, TimePoint now);
+
   /// An endpoint is lost: it is not used for a while, and the requests that
   /// pass it are given up there.
   ///
@@ -97,6 +107,7 @@
   std::map<std::string, FleetRetryBudget> retries_;
   std::list<ActiveAttempt> attempts_;
   std::uint32_t daemons_;
+  std::function<void(std::string)> inspect_;
 };
 
 /// The cards of a service among its endpoints.
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -134,6 +134,13 @@
   attempts_.erase(attempt);
 }
 
+void RelayState::OnTrouble(const std::string& id, TimePoint now) {
+  directory_.Suspect(id, now);
+  if (inspect_) {
+    inspect_(id);
+  }
+}
+
 void RelayState::OnEndpointLost(const std::string& id,
                                 std::string_view reason,
                                 TimePoint now) {
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -31,7 +31,8 @@
     version_ += changed ? 1 : 0;
     return;
   }
-  known = KnownEndpoint{.record = std::move(record)};
+  known = KnownEndpoint();
+  known.record = std::move(record);
   ++version_;
 }
 
@@ -84,7 +85,7 @@
     return Duration::zero();
   }
   KnownEndpoint& known = found->second;
-  if (now < known.suspected_until) {
+  if (now + kFirstSuspicion / 2 < known.suspected_until) {
     return known.suspected_until - now;
   }
   const auto time = std::min(kFirstSuspicion * (1U << known.suspicions),
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -94,39 +94,71 @@
   }
 }
 
+/// Cards that hold nothing, and then those whose layers others hold as well,
+/// slowest first: the fast ones carry the chains. Cards that are taken away
+/// together leave every layer held.
+std::vector<Card*> FindSpare(const EngineProfile& profile,
+                             std::vector<Card>& cards,
+                             const std::set<std::string>& in_use) {
+  auto holders = CountHolders(profile, cards);
+  std::vector<Card*> empty;
+  std::vector<Card*> redundant;
+  for (auto card = cards.rbegin(); card != cards.rend(); ++card) {
+    if (card->is_loading) {
+      continue;
+    }
+    if (card->layers.is_empty()) {
+      empty.insert(empty.begin(), &*card);
+      continue;
+    }
+    const auto first = holders.begin() + card->layers.first;
+    const auto end =
+        holders.begin() + std::min(card->layers.end, profile.layers);
+    if (!in_use.contains(card->id) &&
+        std::all_of(first, end, [](std::uint32_t n) { return n > 1; })) {
+      std::for_each(first, end, [](std::uint32_t& n) { --n; });
+      redundant.push_back(&*card);
+    }
+  }
+  empty.insert(empty.end(), redundant.begin(), redundant.end());
+  empty.resize(std::min(empty.size(), kMostHelpers));
+  return empty;
+}
+
 std::vector<Helper> FindHelpers(const EngineProfile& profile,
                                 std::vector<Card>& cards,
-                                const std::set<std::string>& busy,
+                                const std::set<std::string>& in_use,
                                 LayerRange gap,
                                 double room) {
   std::vector<Helper> below;
-  std::vector<Helper> idle;
+  std::vector<Helper> spare;
   std::vector<Helper> above;
+  for (Card* card : FindSpare(profile, cards, in_use)) {
+    spare.push_back(
+        {card, MostLayers(profile, *card, room), 0, Helper::Side::kFree});
+  }
+  const auto is_spare = [&](const Card& card) {
+    return std::any_of(spare.begin(), spare.end(), [&](const Helper& helper) {
+      return helper.card == &card;
+    });
+  };
   for (Card& card : cards) {
     const std::uint32_t held = card.layers.size();
-    const std::uint32_t most =
-        MostLayers(profile, card, room * kRepairShare);
-    if (card.is_loading) {
+    const std::uint32_t most = MostLayers(profile, card, room * kRepairShare);
+    if (card.is_loading || most <= held || held == 0 || is_spare(card)) {
       continue;
     }
-    if (!busy.contains(card.id)) {
-      idle.push_back({&card, MostLayers(profile, card, room), 0,
-                      Helper::Side::kFree});
-    } else if (most > held && card.layers.end == gap.first) {
+    if (card.layers.end == gap.first) {
       below.push_back({&card, most - held, 0, Helper::Side::kBelow});
-    } else if (most > held && card.layers.first == gap.end) {
+    } else if (card.layers.first == gap.end) {
       above.push_back({&card, most - held, 0, Helper::Side::kAbove});
     }
   }
-  std::sort(idle.begin(), idle.end(), [](const Helper& a, const Helper& b) {
-    return IsFaster(*a.card, *b.card);
-  });
-  idle.resize(std::min(idle.size(), kMostHelpers));
   std::vector<Helper> helpers;
   if (!below.empty()) {
     helpers.push_back(below.front());
   }
-  helpers.insert(helpers.end(), idle.begin(), idle.end());
+  helpers.insert(helpers.end(), spare.begin(), spare.end());
   if (!above.empty()) {
     helpers.push_back(above.front());
   }
@@ -136,11 +168,11 @@
 /// Fills a gap that a lost card has left; changes `cards` to match.
 void FillGap(const EngineProfile& profile,
              std::vector<Card>& cards,
-             const std::set<std::string>& busy,
+             const std::set<std::string>& in_use,
              LayerRange gap,
              double room,
              std::vector<PlacementChange>& changes) {
-  auto helpers = FindHelpers(profile, cards, busy, gap, room);
+  auto helpers = FindHelpers(profile, cards, in_use, gap, room);
   Divide(gap.size(), helpers);
   std::uint32_t next = gap.first;
   for (const Helper& helper : helpers) {
@@ -199,10 +231,10 @@
       std::all_of(cards.begin(), cards.end(),
                   [](const Card& card) { return card.layers.is_empty(); });
   if (!is_fresh) {
-    const std::set<std::string> busy(in_use.begin(), in_use.end());
+    const std::set<std::string> used(in_use.begin(), in_use.end());
     const auto holders = CountHolders(profile, cards);
     if (*std::min_element(holders.begin(), holders.end()) == 0) {
-      FillGap(profile, cards, busy, ThinnestRun(holders), room, changes);
+      FillGap(profile, cards, used, ThinnestRun(holders), room, changes);
     }
   }
   for (Card& card : cards) {
