Two holders for each layer, loads as endpoints state them, a count of the daemons

Cause: a chain whose first endpoint refused for want of memory was left alone for seconds, so that the load fell on the chains that were left; shares of limits were taken from a guess of twelve daemons. Change: a suspected endpoint that answers is spared for 100 ms only; load is what the first endpoint states; the daemons are counted by rows they renew; room is given up for a second holder of each layer down to 0.3 of the slots.

--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -69,6 +69,14 @@
       state_.OnEndpointLost(id, "no_report", clock_.Now());
       co_return;
     }
+    known = state_.directory().Find(id);
+    if (known != nullptr &&
+        known->record.started_at_ms != report->started_at_ms) {
+      state_.OnEndpointLost(id, "restarted", clock_.Now());
+      co_return;
+    }
+    state_.directory().OnLayers(id, report->layers);
+    state_.directory().OnAlive(id, clock_.Now());
     for (const StalledRequest& stalled : report->stalled) {
       const KnownEndpoint* blamed =
           state_.directory().FindByAddress(stalled.address);
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -86,6 +86,8 @@
   /// At a first start all endpoints announce themselves within a few seconds;
   /// placing begins when none has come for this long.
   static constexpr std::chrono::milliseconds kSettle{1'200};
+  /// Loads at once: with more, the weights' store slows each of them.
+  static constexpr std::uint32_t kLoadsAtOnce = 5;
   /// How much longer than alone a load may take before it is planned anew:
   /// several at once slow each other.
   static constexpr int kLoadSlack = 4;
@@ -122,7 +124,11 @@
       }
       next = clock_.Now() + kCheckAgain;
       const auto report = co_await control_.Report(address);
-      if (!report) {
+      const KnownEndpoint* known = state_.directory().Find(id);
+      const bool is_same_run =
+          report && known != nullptr &&
+          report->started_at_ms == known->record.started_at_ms;
+      if (!is_same_run) {
         if (lost_.insert(id).second) {
           LogEvent(Severity::kWarning, "endpoint_lost").With("endpoint", id);
         }
@@ -167,12 +173,18 @@
     }
     for (const auto& [data_centre, group] : ByDataCentre(std::move(cards))) {
       for (const PlacementChange& change :
-           PlanPlacement(*service.engine, group, in_use)) {
+           PlanPlacement(*service.engine, group, in_use,
+                         kLoadsAtOnce - std::min(kLoadsAtOnce, Loading()))) {
         Begin(service, change, now, executor);
       }
     }
   }
 
+  /// Orders whose loads run.
+  [[nodiscard]] std::uint32_t Loading() const {
+    return static_cast<std::uint32_t>(pending_.size());
+  }
+
   /// Whether the list is complete enough for a first placement.
   bool HasSettled(const std::vector<Card>& cards, TimePoint now) {
     if (cards.size() != seen_cards_) {
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -392,7 +392,7 @@
               : passage.tried;
       const ServingChain* chain =
           state_.Chains(*passage.service, clock_.Now())
-              .Pick(tokens, state_.daemons(), firsts);
+              .Pick(tokens, state_.daemons(), firsts, clock_.Now());
       if (chain == nullptr) {
         break;
       }
@@ -463,6 +463,9 @@
     void Progressed(TimePoint now) {
       state_.silence().OnProgress(first(), now);
     }
+    void Stated(StatedLoad load, TimePoint now) {
+      selector_.OnStatedLoad(first(), load, now);
+    }
     [[nodiscard]] const std::string& first() const {
       return entry_->stages.front().endpoint.value();
     }
@@ -528,6 +531,9 @@
     use.Progressed(clock_.Now());
     const AnswerHead head =
         Dialect::Judge(passage.request.id, call.status(), call.fields());
+    if (head.load) {
+      use.Stated(*head.load, clock_.Now());
+    }
     if (head.is_not_run) {
       OnRefusedByChain(passage, stages, head);
       co_return Sent::kNotRun;
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -63,7 +63,8 @@
   /// This daemon's part of a service's retries.
   [[nodiscard]] FleetRetryBudget& Retries(const std::string& service);
 
-  /// Daemons that share limits, this one included.
+  /// Daemons that share limits, this one included; a high guess before they
+  /// were counted.
   [[nodiscard]] std::uint32_t daemons() const noexcept { return daemons_; }
   void SetDaemons(std::uint32_t daemons) noexcept { daemons_ = daemons; }
 
--- /dev/null
+++ b/include/sycamoreford/adapters/roster_service.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "sycamoreford/adapters/pause.h"
+#include "sycamoreford/adapters/relay_state.h"
+#include "sycamoreford/core/log.h"
+#include "sycamoreford/fleet/daemon_roster.h"
+#include "sycamoreford/table/table_client.h"
+
+namespace sycamoreford {
+
+/// Renews this daemon's row and counts the daemons.
+///
+/// Thread safety: none; runs on the thread of its state.
+template <TableClient Table, Clock TheClock>
+class RosterService {
+ public:
+  /// Precondition: all references outlive this object.
+  ///
+  /// \param vm name of this VM; one daemon runs on each.
+  /// \param address where other daemons reach this one.
+  RosterService(RelayState& state,
+                Table& table,
+                const TheClock& clock,
+                const std::string& vm,
+                std::string address)
+      : state_(state),
+        table_(table),
+        clock_(clock),
+        key_(std::string(DaemonRoster::kPrefix) + vm),
+        address_(std::move(address)) {}
+
+  /// Keeps the row and the count; does not return.
+  boost::asio::awaitable<void> Run() {
+    TimePoint renew_at{};
+    began_ = clock_.Now();
+    for (;;) {
+      if (clock_.Now() >= renew_at && co_await Renew()) {
+        renew_at = clock_.Now() + DaemonRoster::kRenewal;
+      }
+      co_await Count();
+      co_await Pause(has_counted_ ? kInterval : kFirstInterval);
+    }
+  }
+
+  [[nodiscard]] const DaemonRoster& roster() const noexcept { return roster_; }
+
+ private:
+  /// Time from one count to the next.
+  static constexpr std::chrono::milliseconds kInterval{6'000};
+  /// Time after a start in which daemons are counted more often.
+  static constexpr std::chrono::milliseconds kStart{1'500};
+  /// The interval then, and until a count has succeeded.
+  static constexpr std::chrono::milliseconds kFirstInterval{500};
+
+  boost::asio::awaitable<bool> Renew() {
+    TableTransaction transaction;
+    transaction.writes.push_back({key_, address_});
+    const auto written = co_await table_.Commit(transaction);
+    if (!written) {
+      LogEvent(Severity::kWarning, "roster_not_renewed")
+          .With("reason", written.error().where);
+    }
+    co_return written.has_value();
+  }
+
+  boost::asio::awaitable<void> Count() {
+    TableRead read;
+    read.prefixes.emplace_back(DaemonRoster::kPrefix);
+    const auto rows = co_await table_.Read(read);
+    if (!rows) {
+      LogEvent(Severity::kWarning, "roster_not_read")
+          .With("reason", rows.error().where);
+      co_return;
+    }
+    roster_.OnRows(*rows, clock_.Now());
+    // The others of a first start write their rows at the same time.
+    has_counted_ = clock_.Now() - began_ > kStart;
+    const std::uint32_t count = std::max(1U, roster_.Count(clock_.Now()));
+    if (count != state_.daemons()) {
+      LogEvent(Severity::kInfo, "daemons")
+          .With("before", state_.daemons())
+          .With("now", count);
+      state_.SetDaemons(count);
+    }
+  }
+
+  RelayState& state_;
+  Table& table_;
+  const TheClock& clock_;
+  std::string key_;
+  std::string address_;
+  DaemonRoster roster_;
+  bool has_counted_ = false;
+  TimePoint began_{};
+};
+
+}  // namespace sycamoreford
--- a/include/sycamoreford/fleet/endpoint_directory.h
+++ b/include/sycamoreford/fleet/endpoint_directory.h
@@ -66,6 +66,9 @@
   /// \returns how long it is not used; 0 when the id is unknown.
   Duration Suspect(std::string_view id, TimePoint now);
 
+  /// A suspected endpoint was found to live; it is spared for a moment only.
+  void OnAlive(std::string_view id, TimePoint now);
+
   /// A request was answered by the endpoint.
   void OnSuccess(std::string_view id, TimePoint now);
 
--- a/include/sycamoreford/placement/placement_planner.h
+++ b/include/sycamoreford/placement/placement_planner.h
@@ -17,8 +17,8 @@
 };
 
 /// Tokens of requests that each card of a data centre should have room for:
-/// what half of an endpoint's slots need, or less when the layers would not
-/// fit.
+/// what half of an endpoint's slots need, or less, so that each layer has two
+/// holders, or one at least.
 ///
 /// Answers the question of how many cards a copy of the model is spread over:
 /// less room means fewer and faster cards in a chain, and more of the others
@@ -39,10 +39,13 @@
 ///
 /// \param cards usable cards of one data centre.
 /// \param in_use ids of cards that a chain uses at present.
+/// \param loads further loads that may run now; layers without a holder are
+///     loaded whatever it is, and so is a first placement.
 /// \returns changes that can be ordered at once; empty when all is well.
 [[nodiscard]] std::vector<PlacementChange> PlanPlacement(
     const EngineProfile& profile,
     const std::vector<Card>& cards,
-    const std::vector<std::string>& in_use);
+    const std::vector<std::string>& in_use,
+    std::uint32_t loads);
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/chain_selector.h
+++ b/include/sycamoreford/relay/chain_selector.h
@@ -6,14 +6,17 @@
 #include <string>
 #include <vector>
 
+#include "sycamoreford/core/clock.h"
 #include "sycamoreford/placement/chain_builder.h"
+#include "sycamoreford/relay/stated_load.h"
 
 namespace sycamoreford {
 
 /// Chooses the chain for a request by the memory that requests in flight take.
 ///
-/// A daemon knows its own requests for certain and takes the others to carry
-/// as much. Load answered: a data centre whose chain is lost sends its requests
+/// The first endpoint of a chain states with each answer how many requests it
+/// has from all daemons; what was sent since is added. Before it did, a daemon
+/// takes the others to carry as much as itself. Load answered: a data centre whose chain is lost sends its requests
 /// to the chains of the others, and what fits nowhere is refused at once.
 ///
 /// Thread safety: none.
@@ -37,10 +40,13 @@
   /// \param daemons daemons that share the chains; at least 1.
   /// \param firsts when not empty, the chain must begin with one of these.
   /// \returns nothing when no chain has room. Valid until `SetChains`.
-  [[nodiscard]] const ServingChain* Pick(
-      double tokens,
-      std::uint32_t daemons,
-      const std::set<std::string>& firsts) const;
+  [[nodiscard]] const ServingChain* Pick(double tokens,
+                                         std::uint32_t daemons,
+                                         const std::set<std::string>& firsts,
+                                         TimePoint now) const;
+
+  /// The first endpoint of a chain stated its load.
+  void OnStatedLoad(const std::string& first, StatedLoad load, TimePoint now);
 
   /// A request was sent along a chain.
   void OnSent(const Chain& stages, double tokens);
@@ -48,12 +54,25 @@
   void OnEnded(const Chain& stages, double tokens);
 
  private:
-  [[nodiscard]] double TokensOn(const ServingChain& chain) const;
+  /// Requests that a first endpoint has from all daemons.
+  struct Stated {
+    std::uint32_t requests = 0;
+    /// Requests of this daemon that were sent or ended since.
+    std::int64_t since = 0;
+    TimePoint at{};
+  };
+
+  [[nodiscard]] double TokensOn(const ServingChain& chain,
+                                std::uint32_t daemons,
+                                TimePoint now) const;
 
   std::string data_centre_;
   std::vector<ServingChain> chains_;
   /// Tokens of this daemon's requests by endpoint.
   std::map<std::string, double> tokens_;
+  /// Requests and their tokens that this daemon has sent, for the mean.
+  double mean_tokens_ = 0;
+  std::map<std::string, Stated> stated_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -5,7 +5,8 @@
 #include <optional>
 #include <string>
 
-#include "sycamoreford/placement/chain_builder.h"
+#include "sycamoreford/route/chain.h"
+#include "sycamoreford/relay/stated_load.h"
 
 namespace sycamoreford {
 
@@ -42,13 +43,6 @@
   Chain stages;
 };
 
-/// Load of an endpoint as it states it with an answer.
-struct StatedLoad {
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t slots = 0;
-};
-
 /// What the head of an endpoint's answer says.
 struct AnswerHead {
   unsigned status = 0;
--- /dev/null
+++ b/src/fleet/daemon_roster.cc
@@ -0,0 +1,36 @@
+#include "sycamoreford/fleet/daemon_roster.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sycamoreford {
+
+void DaemonRoster::OnRows(const std::vector<TableRow>& rows, TimePoint now) {
+  std::set<std::string> listed;
+  for (const TableRow& row : rows) {
+    listed.insert(row.key);
+    Seen& seen = rows_[row.key];
+    if (seen.version != row.version) {
+      seen = {.version = row.version, .changed = now, .address = row.value};
+    }
+  }
+  std::erase_if(rows_, [&](const auto& it) {
+    return !listed.contains(it.first);
+  });
+}
+
+std::uint32_t DaemonRoster::Count(TimePoint now) const {
+  return static_cast<std::uint32_t>(Addresses(now).size());
+}
+
+std::vector<std::string> DaemonRoster::Addresses(TimePoint now) const {
+  std::vector<std::string> addresses;
+  for (const auto& [key, seen] : rows_) {
+    if (now - seen.changed < kLifetime) {
+      addresses.push_back(seen.address);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace sycamoreford
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -13,6 +13,10 @@
 /// Longest suspicion; bounds how long a returned endpoint stays unused.
 constexpr std::chrono::milliseconds kLongestSuspicion{4'000};
 
+/// An endpoint that refused for want of memory or places is spared for about
+/// the time in which some of its requests end.
+constexpr std::chrono::milliseconds kSpared{100};
+
 bool IsSameRun(const EndpointRecord& one, const EndpointRecord& other) {
   return one.id == other.id && one.started_at_ms == other.started_at_ms &&
          one.address == other.address;
@@ -96,6 +100,16 @@
   return time;
 }
 
+void EndpointDirectory::OnAlive(std::string_view id, TimePoint now) {
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end() || found->second.suspected_until <= now) {
+    return;
+  }
+  found->second.suspicions = 0;
+  found->second.suspected_until = now + kSpared;
+  ++version_;
+}
+
 void EndpointDirectory::OnSuccess(std::string_view id, TimePoint now) {
   const auto found = endpoints_.find(id);
   if (found != endpoints_.end()) {
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -9,17 +9,27 @@
 
 /// Share of an endpoint's slots that the room is planned for. Requests in
 /// flight stay below it at the declared loads; the rest of the memory buys
-/// faster chains.
+/// faster chains and second holders.
 constexpr double kSlotShare = 0.5;
+/// Room is given up for second holders down to this share of the slots: about
+/// twice what a chain carries at the declared loads, so that it can stand in
+/// for a lost one.
+constexpr double kLeastSlotShare = 0.3;
+/// Cards that hold each layer, where memory allows it, so that the loss of a
+/// card leaves a chain.
+constexpr std::uint32_t kHolders = 2;
 /// Factor from one try of a smaller room to the next.
-constexpr double kRoomStep = 0.85;
+constexpr double kRoomStep = 0.93;
 /// Below this many tokens a card is not worth a place in a chain.
 constexpr double kLeastRoom = 4'000;
 /// Room that remains on a neighbour that takes over layers of a lost card, as
 /// a share of the target.
 constexpr double kRepairShare = 0.4;
-/// Cards without a use that share a gap; more loads at once slow each other.
-constexpr std::size_t kMostHelpers = 4;
+/// Cards that share a gap; with more, chains get long and loads slow down.
+constexpr std::size_t kMostHelpers = 3;
+/// A card that holds less than this share of what it could is filled up when
+/// nothing else is to be done.
+constexpr double kFilled = 0.7;
 
 /// Most layers that a card holds beside room for `room` tokens.
 std::uint32_t MostLayers(const EngineProfile& profile,
@@ -155,11 +165,13 @@
     }
   }
   std::vector<Helper> helpers;
-  if (!below.empty()) {
+  std::size_t room_left = kMostHelpers - std::min(kMostHelpers, spare.size());
+  if (!below.empty() && room_left > 0) {
     helpers.push_back(below.front());
+    --room_left;
   }
   helpers.insert(helpers.end(), spare.begin(), spare.end());
-  if (!above.empty()) {
+  if (!above.empty() && room_left > 0) {
     helpers.push_back(above.front());
   }
   return helpers;
@@ -201,25 +213,97 @@
 
 double RoomTarget(const EngineProfile& profile,
                   const std::vector<Card>& cards) {
-  double room = kSlotShare * profile.slots *
-                (profile.usual_prompt_tokens + profile.usual_answer_tokens);
-  while (room > kLeastRoom) {
+  const double per_slot =
+      profile.slots *
+      (profile.usual_prompt_tokens + profile.usual_answer_tokens);
+  const auto fits = [&](double room, std::uint32_t holders) {
     std::uint32_t fitting = 0;
     for (const Card& card : cards) {
       fitting += MostLayers(profile, card, room);
     }
-    if (fitting >= profile.layers) {
-      return room;
-    }
+    return fitting >= profile.layers * holders;
+  };
+  double room = kSlotShare * per_slot;
+  while (room > kLeastSlotShare * per_slot && !fits(room, kHolders)) {
+    room *= kRoomStep;
+  }
+  while (room > kLeastRoom && !fits(room, 1)) {
     room *= kRoomStep;
   }
   return room;
 }
 
+namespace {
+
+/// Where an empty card is needed most.
+LayerRange RangeFor(const std::vector<std::uint32_t>& holders,
+                    std::uint32_t most) {
+  const LayerRange run = ThinnestRun(holders);
+  const auto layers = static_cast<std::uint32_t>(holders.size());
+  if (run.size() >= most) {
+    return {run.first, run.first + most};
+  }
+  // A run shorter than the card's memory allows is widened downwards first.
+  const std::uint32_t first = run.end > most ? run.end - most : 0;
+  return {first, std::min(first + most, layers)};
+}
+
+/// Gives empty cards their layers, fastest card first.
+void FillEmpty(const EngineProfile& profile,
+               std::vector<Card>& cards,
+               double room,
+               std::uint32_t& loads,
+               std::vector<PlacementChange>& changes) {
+  for (Card& card : cards) {
+    const std::uint32_t most = MostLayers(profile, card, room);
+    if (!card.layers.is_empty() || card.is_loading || most == 0 || loads == 0) {
+      continue;
+    }
+    card.layers = RangeFor(CountHolders(profile, cards), most);
+    card.is_loading = true;
+    --loads;
+    changes.push_back({card.id, card.layers});
+  }
+}
+
+/// Widens one card that repairs have left with few layers.
+void Widen(const EngineProfile& profile,
+           std::vector<Card>& cards,
+           const std::set<std::string>& in_use,
+           double room,
+           std::vector<PlacementChange>& changes) {
+  const auto holders = CountHolders(profile, cards);
+  for (Card& card : cards) {
+    const std::uint32_t most = MostLayers(profile, card, room);
+    if (card.layers.is_empty() || in_use.contains(card.id) ||
+        card.layers.size() >= kFilled * most) {
+      continue;
+    }
+    LayerRange layers = card.layers;
+    while (layers.size() < most) {
+      const bool can_fall = layers.first > 0;
+      const bool can_rise = layers.end < profile.layers;
+      if (can_fall && (!can_rise || holders[layers.first - 1] <=
+                                        holders[layers.end])) {
+        --layers.first;
+      } else if (can_rise) {
+        ++layers.end;
+      } else {
+        break;
+      }
+    }
+    changes.push_back({card.id, layers});
+    return;
+  }
+}
+
+}  // namespace
+
 std::vector<PlacementChange> PlanPlacement(
     const EngineProfile& profile,
     const std::vector<Card>& given,
-    const std::vector<std::string>& in_use) {
+    const std::vector<std::string>& in_use,
+    std::uint32_t loads) {
   std::vector<PlacementChange> changes;
   if (given.empty() || profile.layers == 0) {
     return changes;
@@ -230,27 +314,22 @@
   const bool is_fresh =
       std::all_of(cards.begin(), cards.end(),
                   [](const Card& card) { return card.layers.is_empty(); });
-  if (!is_fresh) {
-    const std::set<std::string> used(in_use.begin(), in_use.end());
-    const auto holders = CountHolders(profile, cards);
-    if (*std::min_element(holders.begin(), holders.end()) == 0) {
-      FillGap(profile, cards, used, ThinnestRun(holders), room, changes);
-    }
+  if (is_fresh) {
+    std::uint32_t unbounded = static_cast<std::uint32_t>(cards.size());
+    FillEmpty(profile, cards, room, unbounded, changes);
+    return changes;
   }
-  for (Card& card : cards) {
-    const std::uint32_t most = MostLayers(profile, card, room);
-    if (!card.layers.is_empty() || card.is_loading || most == 0) {
-      continue;
-    }
-    const LayerRange run = ThinnestRun(CountHolders(profile, cards));
-    // A run shorter than the card's memory allows is widened downwards.
-    const std::uint32_t end =
-        std::min(std::max(run.first + most, most), profile.layers);
-    const std::uint32_t stop = run.size() < most ? run.end : end;
-    card.layers = {stop > most ? stop - most : 0,
-                   std::max(stop, std::min(most, profile.layers))};
-    card.is_loading = true;
-    changes.push_back({card.id, card.layers});
+  const std::set<std::string> used(in_use.begin(), in_use.end());
+  const auto holders = CountHolders(profile, cards);
+  if (*std::min_element(holders.begin(), holders.end()) == 0) {
+    FillGap(profile, cards, used, ThinnestRun(holders), room, changes);
+    return changes;
+  }
+  FillEmpty(profile, cards, room, loads, changes);
+  const bool is_calm = std::none_of(
+      cards.begin(), cards.end(), [](const Card& it) { return it.is_loading; });
+  if (is_calm && loads > 0) {
+    Widen(profile, cards, used, room, changes);
   }
   return changes;
 }
--- a/src/relay/chain_selector.cc
+++ b/src/relay/chain_selector.cc
@@ -9,26 +9,41 @@
 /// Share of a chain's room that a chain of another data centre must be freer
 /// by: the way there takes longer and its bytes are paid for.
 constexpr double kRemotePenalty = 0.15;
-/// Requests are refused above this share of the room. Above 1, since they take
-/// their full memory only at their end, and a daemon's guess of the others'
-/// requests is rough; endpoints make excess requests wait.
-constexpr double kMostUsed = 1.6;
+/// The same for each millisecond that a token takes longer: a request on a slow
+/// chain holds its memory for longer.
+constexpr double kStepPenalty = 0.05;
+/// Requests are refused above this share of the room. They take their full
+/// memory only at their end, so that a full chain still carries this much.
+constexpr double kMostUsed = 1.1;
+/// A stated load is of use for this long; about a tenth of a stream's time.
+constexpr std::chrono::milliseconds kStatedFor{500};
+/// Weight of the newest request in the mean of tokens.
+constexpr double kNewest = 0.02;
 
 }  // namespace
 
-double ChainSelector::TokensOn(const ServingChain& chain) const {
+double ChainSelector::TokensOn(const ServingChain& chain,
+                               std::uint32_t daemons,
+                               TimePoint now) const {
+  const auto stated = stated_.find(chain.stages.front().endpoint.value());
+  if (stated != stated_.end() && now - stated->second.at < kStatedFor) {
+    const double requests = static_cast<double>(stated->second.requests) +
+                            static_cast<double>(stated->second.since);
+    return std::max(0.0, requests) * mean_tokens_;
+  }
   double most = 0;
   for (const ChainStage& stage : chain.stages) {
     const auto found = tokens_.find(stage.endpoint.value());
     most = std::max(most, found == tokens_.end() ? 0 : found->second);
   }
-  return most;
+  return most * std::max(1U, daemons);
 }
 
 const ServingChain* ChainSelector::Pick(
     double tokens,
     std::uint32_t daemons,
-    const std::set<std::string>& firsts) const {
+    const std::set<std::string>& firsts,
+    TimePoint now) const {
   const ServingChain* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const ServingChain& chain : chains_) {
@@ -37,12 +52,12 @@
       continue;
     }
     const double used =
-        (TokensOn(chain) * std::max(1U, daemons) + tokens) / chain.room_tokens;
+        (TokensOn(chain, daemons, now) + tokens) / chain.room_tokens;
     if (used > kMostUsed) {
       continue;
     }
-    const double cost =
-        used + (chain.data_centre == data_centre_ ? 0 : kRemotePenalty);
+    const double cost = used + kStepPenalty * chain.step.count() +
+                        (chain.data_centre == data_centre_ ? 0 : kRemotePenalty);
     if (cost < best_cost) {
       best_cost = cost;
       best = &chain;
@@ -51,10 +66,20 @@
   return best;
 }
 
+void ChainSelector::OnStatedLoad(const std::string& first,
+                                 StatedLoad load,
+                                 TimePoint now) {
+  stated_[first] = {.requests = load.running + load.waiting, .at = now};
+}
+
 void ChainSelector::OnSent(const Chain& stages, double tokens) {
   for (const ChainStage& stage : stages) {
     tokens_[stage.endpoint.value()] += tokens;
   }
+  mean_tokens_ = mean_tokens_ <= 0
+                     ? tokens
+                     : (1 - kNewest) * mean_tokens_ + kNewest * tokens;
+  ++stated_[stages.front().endpoint.value()].since;
 }
 
 void ChainSelector::OnEnded(const Chain& stages, double tokens) {
@@ -68,6 +93,7 @@
       tokens_.erase(found);
     }
   }
+  --stated_[stages.front().endpoint.value()].since;
 }
 
 }  // namespace sycamoreford
