--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -136,9 +136,8 @@
     }
     connection.is_lost = true;
     connection.lost_at = clock_.Now();
-    const auto pause =
-        std::min(kFirstPause * (1U << std::min(connection.failures, 3U)),
-                 kLongestPause);
+    const auto pause = std::min(
+        kFirstPause * (1U << std::min(connection.failures, 3U)), kLongestPause);
     ++connection.failures;
     // A store that answers says when to come back.
     co_await Pause(failure.retry_after ? pause : kCallAgain);
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -166,8 +166,7 @@
       card.is_loading = true;
     }
     std::vector<std::string> in_use;
-    for (const ServingChain& chain :
-         state_.Chains(service, now).chains()) {
+    for (const ServingChain& chain : state_.Chains(service, now).chains()) {
       for (const ChainStage& stage : chain.stages) {
         in_use.push_back(stage.endpoint.value());
       }
@@ -204,8 +203,8 @@
              const PlacementChange& change,
              TimePoint now,
              const Executor& executor) {
-    const double share = static_cast<double>(change.layers.size()) /
-                         service.engine->layers;
+    const double share =
+        static_cast<double>(change.layers.size()) / service.engine->layers;
     const auto load = std::chrono::duration_cast<Duration>(
         service.engine->load * share * kLoadSlack);
     pending_[change.card] = {change.layers, now + load + kOrderSlack};
@@ -223,7 +222,9 @@
     if (!report || !token || report->is_busy) {
       LogEvent(Severity::kInfo, "order_not_given")
           .With("endpoint", change.card)
-          .With("reason", !report ? "no_report" : !token ? "no_lease" : "busy");
+          .With("reason", !report  ? "no_report"
+                          : !token ? "no_lease"
+                                   : "busy");
       pending_[change.card].until = clock_.Now() + kRetry;
       co_return;
     }
@@ -238,8 +239,8 @@
         .With("end_layer", change.layers.end)
         .With("sequence", order.expected_sequence)
         .With("fencing", token->value())
-        .With("outcome", outcome ? Name(*outcome)
-                                 : ToString(outcome.error().code));
+        .With("outcome",
+              outcome ? Name(*outcome) : ToString(outcome.error().code));
     if (outcome && *outcome != OrderOutcome::kBegun &&
         *outcome != OrderOutcome::kHolds) {
       pending_[change.card].until = clock_.Now() + kRetry;
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <utility>
 
+#include <xxhash.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <xxhash.h>
 
 #include "sycamoreford/adapters/http_client.h"
 #include "sycamoreford/adapters/http_server.h"
@@ -132,14 +132,13 @@
     if (!passage.manifest) {
       return Refusal::kNoConfiguration;
     }
-    passage.route = passage.manifest->FindRoute(passage.request.host,
-                                                passage.request.path);
+    passage.route =
+        passage.manifest->FindRoute(passage.request.host, passage.request.path);
     if (passage.route == nullptr) {
       return Refusal::kNoRoute;
     }
     passage.priority = passage.route->priority;
-    if (passage.manifest->has_customers() &&
-        !passage.route->allows_anonymous) {
+    if (passage.manifest->has_customers() && !passage.route->allows_anonymous) {
       const RelayCustomer* customer =
           passage.manifest->FindCustomer(passage.request.api_key);
       if (customer == nullptr) {
@@ -165,9 +164,8 @@
     }
     constexpr double kHashRange = 18446744073709551616.0;
     const std::string& id = passage.request.id;
-    double at =
-        static_cast<double>(XXH64(id.data(), id.size(), 0)) / kHashRange *
-        total;
+    double at = static_cast<double>(XXH64(id.data(), id.size(), 0)) /
+                kHashRange * total;
     for (const WeightedService& share : passage.route->services) {
       at -= share.weight;
       if (at < 0) {
@@ -190,12 +188,10 @@
         .With("request", passage.request.id)
         .With("reason", ToString(refusal))
         .With("route", passage.route == nullptr ? "" : passage.route->name)
-        .With("revision",
-              passage.manifest ? passage.manifest->revision() : 0)
+        .With("revision", passage.manifest ? passage.manifest->revision() : 0)
         .With("sends", passage.sends)
-        .With("after_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  clock_.Now() - passage.arrived));
+        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              clock_.Now() - passage.arrived));
     co_await exchange.Respond(Dialect::Refuse(refusal, ComeBack()));
   }
 
@@ -219,12 +215,12 @@
       return true;
     }
     return (!passage.may_have_run || passage.MayRepeat()) &&
-           state_.Retries(passage.service->name)
-               .TryTake(now, state_.daemons());
+           state_.Retries(passage.service->name).TryTake(now, state_.daemons());
   }
 
   static boost::asio::awaitable<bool> IsCancelled() {
-    const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
+    const auto cancellation =
+        co_await boost::asio::this_coro::cancellation_state;
     co_return cancellation.cancelled() != boost::asio::cancellation_type::none;
   }
 
@@ -302,8 +298,9 @@
     const TimePoint began = clock_.Now();
     const auto left = passage.TimeLeft(began);
     // One that may be repeated does not wait for a silent endpoint.
-    const bool may_move = passage.MayRepeat() &&
-                          passage.tried.size() + 1 < passage.route->max_attempts;
+    const bool may_move =
+        passage.MayRepeat() &&
+        passage.tried.size() + 1 < passage.route->max_attempts;
     const auto patience =
         may_move ? std::min(left, passage.route->target_latency) : left;
     ForwardOrder order;
@@ -313,8 +310,8 @@
     EndpointUse use(state_.service_selector(), record.id);
     HttpCall call(co_await boost::asio::this_coro::executor);
     const HttpRequest encoded = Dialect::Encode(exchange.request(), order);
-    const auto failure = co_await call.Start(
-        record.address, encoded, relay::kConnectTimeout, patience);
+    const auto failure = co_await call.Start(record.address, encoded,
+                                             relay::kConnectTimeout, patience);
     if (co_await IsCancelled()) {
       co_return Sent::kGone;
     }
@@ -350,8 +347,8 @@
     }
     const TimePoint now = clock_.Now();
     constexpr unsigned kFirstServerError = 500;
-    const bool is_good = body.has_value() && head.IsTrusted() &&
-                         head.status < kFirstServerError;
+    const bool is_good =
+        body.has_value() && head.IsTrusted() && head.status < kFirstServerError;
     use.Answered(now, now - began, is_good);
     if (head.is_not_run) {
       LogNotRun(passage, endpoint, head);
@@ -426,9 +423,8 @@
         .With("request", passage.request.id)
         .With("events", progress.events.events())
         .With("sends", passage.sends)
-        .With("after_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  clock_.Now() - passage.arrived));
+        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              clock_.Now() - passage.arrived));
   }
 
   [[nodiscard]] static double ExpectedTokens(const Passage& passage) {
@@ -504,11 +500,10 @@
     const TimePoint began = clock_.Now();
     const std::string first = stages.front().endpoint.value();
     HttpCall call(co_await boost::asio::this_coro::executor);
-    ChainUse use(state_, *passage.service,
-                 {.request_id = passage.request.id,
-                  .stages = stages,
-                  .call = &call},
-                 tokens, began);
+    ChainUse use(
+        state_, *passage.service,
+        {.request_id = passage.request.id, .stages = stages, .call = &call},
+        tokens, began);
     const ForwardOrder order = OrderFor(passage, stages, progress);
     const HttpRequest encoded = Dialect::Encode(exchange.request(), order);
     const auto failure =
@@ -612,8 +607,9 @@
       }
     }
     if (!progress.events.rest().empty()) {
-      LogLost(passage, first, Failure{.code = Errc::kBadEndpointAnswer,
-                                      .where = "ends within an event"});
+      LogLost(passage, first,
+              Failure{.code = Errc::kBadEndpointAnswer,
+                      .where = "ends within an event"});
       co_return Sent::kLost;
     }
     state_.directory().OnSuccess(first, clock_.Now());
@@ -630,8 +626,8 @@
         head.blamed_address.empty()
             ? nullptr
             : state_.directory().FindByAddress(head.blamed_address);
-    const std::string id = blamed == nullptr ? stages.front().endpoint.value()
-                                             : blamed->record.id;
+    const std::string id =
+        blamed == nullptr ? stages.front().endpoint.value() : blamed->record.id;
     LogNotRun(passage, id, head);
     if (blamed != nullptr) {
       state_.OnTrouble(id, clock_.Now());
@@ -656,9 +652,8 @@
         .With("first_event_ms",
               std::chrono::duration_cast<std::chrono::milliseconds>(
                   passage.first_event - passage.arrived))
-        .With("after_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  now - passage.arrived));
+        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              now - passage.arrived));
   }
 
   void LogLost(const Passage& passage,
@@ -670,9 +665,8 @@
         .With("reason", ToString(failure.code))
         .With("where", failure.where)
         .With("sends", passage.sends)
-        .With("after_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  clock_.Now() - passage.arrived));
+        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              clock_.Now() - passage.arrived));
   }
 
   void LogNotRun(const Passage& passage,
--- a/include/sycamoreford/relay/chain_selector.h
+++ b/include/sycamoreford/relay/chain_selector.h
@@ -16,8 +16,9 @@
 ///
 /// The first endpoint of a chain states with each answer how many requests it
 /// has from all daemons; what was sent since is added. Before it did, a daemon
-/// takes the others to carry as much as itself. Load answered: a data centre whose chain is lost sends its requests
-/// to the chains of the others, and what fits nowhere is refused at once.
+/// takes the others to carry as much as itself. Load answered: a data centre
+/// whose chain is lost sends its requests to the chains of the others, and what
+/// fits nowhere is refused at once.
 ///
 /// Thread safety: none.
 class ChainSelector {
--- a/include/sycamoreford/relay/fleet_retry_budget.h
+++ b/include/sycamoreford/relay/fleet_retry_budget.h
@@ -44,7 +44,9 @@
   void GiveBack(TimePoint now);
 
  private:
-  static constexpr std::size_t kSlices = 20;
+  /// Slices of a window, and one more: the oldest is in it in part only.
+  static constexpr std::size_t kWindowSlices = 20;
+  static constexpr std::size_t kSlices = kWindowSlices + 1;
 
   struct Slice {
     std::int64_t number = -1;
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
-#include "sycamoreford/route/chain.h"
 #include "sycamoreford/relay/stated_load.h"
+#include "sycamoreford/route/chain.h"
 
 namespace sycamoreford {
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -43,8 +43,8 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   using asio::detail::socket_option::integer;
-  socket.set_option(
-      integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds),
+                    ignored);
   socket.set_option(
       integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalSeconds), ignored);
   socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
--- a/src/fleet/daemon_roster.cc
+++ b/src/fleet/daemon_roster.cc
@@ -14,9 +14,8 @@
       seen = {.version = row.version, .changed = now, .address = row.value};
     }
   }
-  std::erase_if(rows_, [&](const auto& it) {
-    return !listed.contains(it.first);
-  });
+  std::erase_if(rows_,
+                [&](const auto& it) { return !listed.contains(it.first); });
 }
 
 std::uint32_t DaemonRoster::Count(TimePoint now) const {
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -75,10 +75,9 @@
 }
 
 bool EndpointDirectory::Expire(TimePoint now) {
-  const std::size_t dropped =
-      std::erase_if(endpoints_, [&](const auto& entry) {
-        return entry.second.dropped_at && now >= *entry.second.dropped_at;
-      });
+  const std::size_t dropped = std::erase_if(endpoints_, [&](const auto& entry) {
+    return entry.second.dropped_at && now >= *entry.second.dropped_at;
+  });
   version_ += dropped > 0 ? 1 : 0;
   return dropped > 0;
 }
@@ -92,8 +91,8 @@
   if (now + kFirstSuspicion / 2 < known.suspected_until) {
     return known.suspected_until - now;
   }
-  const auto time = std::min(kFirstSuspicion * (1U << known.suspicions),
-                             kLongestSuspicion);
+  const auto time =
+      std::min(kFirstSuspicion * (1U << known.suspicions), kLongestSuspicion);
   known.suspicions = std::min(known.suspicions + 1, 2U);
   known.suspected_until = now + time;
   ++version_;
@@ -141,10 +140,9 @@
 
 const KnownEndpoint* EndpointDirectory::FindByAddress(
     std::string_view address) const {
-  const auto found =
-      std::find_if(endpoints_.begin(), endpoints_.end(), [&](const auto& it) {
-        return it.second.record.address == address;
-      });
+  const auto found = std::find_if(
+      endpoints_.begin(), endpoints_.end(),
+      [&](const auto& it) { return it.second.record.address == address; });
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
--- a/src/placement/chain_builder.cc
+++ b/src/placement/chain_builder.cc
@@ -180,8 +180,7 @@
     if (chain.stages.empty()) {
       return chains;
     }
-    std::erase_if(cards,
-                  [&](const Card& card) { return chain.Uses(card.id); });
+    std::erase_if(cards, [&](const Card& card) { return chain.Uses(card.id); });
     chains.push_back(std::move(chain));
   }
 }
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -1,6 +1,7 @@
 #include "sycamoreford/placement/placement_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 
@@ -17,8 +18,8 @@
 /// Below this many tokens a card is not worth a place in a chain.
 constexpr double kLeastRoom = 4'000;
 /// Room that remains on a neighbour that takes over layers of a lost card, as
-/// a share of the target.
-constexpr double kRepairShare = 0.4;
+/// a share of the target: the first of these with which a gap can be closed.
+constexpr std::array kRepairShares = {0.4, 0.2, 0.1};
 /// Cards that share a gap; with more, chains get long and loads slow down.
 constexpr std::size_t kMostHelpers = 3;
 /// A card that holds less than this share of what it could is filled up when
@@ -133,7 +134,8 @@
                                 std::vector<Card>& cards,
                                 const std::set<std::string>& in_use,
                                 LayerRange gap,
-                                double room) {
+                                double room,
+                                double repair_share) {
   std::vector<Helper> below;
   std::vector<Helper> spare;
   std::vector<Helper> above;
@@ -148,7 +150,7 @@
   };
   for (Card& card : cards) {
     const std::uint32_t held = card.layers.size();
-    const std::uint32_t most = MostLayers(profile, card, room * kRepairShare);
+    const std::uint32_t most = MostLayers(profile, card, room * repair_share);
     if (card.is_loading || most <= held || held == 0 || is_spare(card)) {
       continue;
     }
@@ -171,15 +173,10 @@
   return helpers;
 }
 
-/// Fills a gap that a lost card has left; changes `cards` to match.
-void FillGap(const EngineProfile& profile,
-             std::vector<Card>& cards,
-             const std::set<std::string>& in_use,
-             LayerRange gap,
-             double room,
-             std::vector<PlacementChange>& changes) {
-  auto helpers = FindHelpers(profile, cards, in_use, gap, room);
-  Divide(gap.size(), helpers);
+/// Orders for helpers that were given shares of a gap; changes their cards.
+void TakeShares(const std::vector<Helper>& helpers,
+                LayerRange gap,
+                std::vector<PlacementChange>& changes) {
   std::uint32_t next = gap.first;
   for (const Helper& helper : helpers) {
     if (helper.share == 0) {
@@ -203,6 +200,30 @@
   }
 }
 
+/// Fills a gap that a lost card has left; changes `cards` to match.
+///
+/// \returns whether it could be filled.
+bool FillGap(const EngineProfile& profile,
+             std::vector<Card>& cards,
+             const std::set<std::string>& in_use,
+             LayerRange gap,
+             double room,
+             std::vector<PlacementChange>& changes) {
+  for (const double share : kRepairShares) {
+    auto helpers = FindHelpers(profile, cards, in_use, gap, room, share);
+    std::uint32_t most = 0;
+    for (const Helper& helper : helpers) {
+      most += helper.most;
+    }
+    if (most >= gap.size()) {
+      Divide(gap.size(), helpers);
+      TakeShares(helpers, gap, changes);
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 double RoomTarget(const EngineProfile& profile,
@@ -272,8 +293,8 @@
     while (layers.size() < most) {
       const bool can_fall = layers.first > 0;
       const bool can_rise = layers.end < profile.layers;
-      if (can_fall && (!can_rise || holders[layers.first - 1] <=
-                                        holders[layers.end])) {
+      if (can_fall &&
+          (!can_rise || holders[layers.first - 1] <= holders[layers.end])) {
         --layers.first;
       } else if (can_rise) {
         ++layers.end;
@@ -286,6 +307,26 @@
   }
 }
 
+/// Lays all layers out again: the last resort, when no few cards can close a
+/// gap. Cards keep the layers that they would get anyway.
+std::vector<PlacementChange> PlanAnew(const EngineProfile& profile,
+                                      const std::vector<Card>& cards,
+                                      double room) {
+  std::vector<Card> empty = cards;
+  for (Card& card : empty) {
+    card.layers = {};
+  }
+  std::vector<PlacementChange> changes;
+  std::uint32_t loads = static_cast<std::uint32_t>(cards.size());
+  FillEmpty(profile, empty, room, loads, changes);
+  std::erase_if(changes, [&](const PlacementChange& change) {
+    return std::any_of(cards.begin(), cards.end(), [&](const Card& card) {
+      return card.id == change.card && card.layers == change.layers;
+    });
+  });
+  return changes;
+}
+
 }  // namespace
 
 std::vector<PlacementChange> PlanPlacement(
@@ -309,14 +350,18 @@
     return changes;
   }
   const std::set<std::string> used(in_use.begin(), in_use.end());
+  const bool is_calm = std::none_of(
+      cards.begin(), cards.end(), [](const Card& it) { return it.is_loading; });
   const auto holders = CountHolders(profile, cards);
   if (*std::min_element(holders.begin(), holders.end()) == 0) {
-    FillGap(profile, cards, used, ThinnestRun(holders), room, changes);
+    const bool is_filled =
+        FillGap(profile, cards, used, ThinnestRun(holders), room, changes);
+    if (!is_filled && is_calm) {
+      return PlanAnew(profile, cards, room);
+    }
     return changes;
   }
   FillEmpty(profile, cards, room, loads, changes);
-  const bool is_calm = std::none_of(
-      cards.begin(), cards.end(), [](const Card& it) { return it.is_loading; });
   if (is_calm && loads > 0) {
     Widen(profile, cards, used, room, changes);
   }
--- a/src/relay/chain_selector.cc
+++ b/src/relay/chain_selector.cc
@@ -39,11 +39,10 @@
   return most * std::max(1U, daemons);
 }
 
-const ServingChain* ChainSelector::Pick(
-    double tokens,
-    std::uint32_t daemons,
-    const std::set<std::string>& firsts,
-    TimePoint now) const {
+const ServingChain* ChainSelector::Pick(double tokens,
+                                        std::uint32_t daemons,
+                                        const std::set<std::string>& firsts,
+                                        TimePoint now) const {
   const ServingChain* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const ServingChain& chain : chains_) {
@@ -56,8 +55,9 @@
     if (used > kMostUsed) {
       continue;
     }
-    const double cost = used + kStepPenalty * chain.step.count() +
-                        (chain.data_centre == data_centre_ ? 0 : kRemotePenalty);
+    const double cost =
+        used + kStepPenalty * chain.step.count() +
+        (chain.data_centre == data_centre_ ? 0 : kRemotePenalty);
     if (cost < best_cost) {
       best_cost = cost;
       best = &chain;
--- a/src/relay/fleet_retry_budget.cc
+++ b/src/relay/fleet_retry_budget.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 FleetRetryBudget::Slice& FleetRetryBudget::At(TimePoint now) {
-  const auto length = Duration(allowance_.window) / kSlices;
+  const auto length = Duration(allowance_.window) / kWindowSlices;
   const std::int64_t number = now.time_since_epoch() / length;
   Slice& slice = slices_[static_cast<std::size_t>(number) % kSlices];
   if (slice.number != number) {
--- a/src/relay/manifest.cc
+++ b/src/relay/manifest.cc
@@ -35,8 +35,7 @@
   return found == services_.end() ? nullptr : &*found;
 }
 
-Manifest::Builder::Builder(std::uint64_t revision)
-    : manifest_(new Manifest()) {
+Manifest::Builder::Builder(std::uint64_t revision) : manifest_(new Manifest()) {
   manifest_->revision_ = revision;
 }
 
--- /dev/null
+++ b/tests/event_splitter_test.cc
@@ -0,0 +1,81 @@
+// A stream of events arrives in any pieces, breaks off and goes on elsewhere.
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "sycamoreford/relay/event_splitter.h"
+
+namespace sycamoreford {
+namespace {
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) +
+         "\n\n";
+}
+
+std::string Events(int first, int end) {
+  std::string text;
+  for (int id = first; id < end; ++id) {
+    text += Event(id);
+  }
+  return text;
+}
+
+TEST_CASE("cutting a stream after whole events") {
+  EventSplitter splitter;
+
+  SECTION("an event arrives in two pieces") {
+    REQUIRE(splitter.Feed("id: 1\nda").empty());
+    REQUIRE(splitter.last_id().empty());
+    REQUIRE(splitter.Feed("ta: x\n\nid: 2") == "id: 1\ndata: x\n\n");
+    REQUIRE(splitter.last_id() == "1");
+    REQUIRE(splitter.rest() == "id: 2");
+
+    SECTION("the stream breaks off and goes on at another endpoint") {
+      splitter.Restart();
+      REQUIRE(splitter.rest().empty());
+      REQUIRE(splitter.Feed(Event(2)) == Event(2));
+      REQUIRE(splitter.events() == 2);
+    }
+
+    SECTION("the other endpoint repeats what was delivered") {
+      splitter.Restart();
+      REQUIRE(splitter.Feed(Event(1) + Event(2)) == Event(2));
+    }
+  }
+
+  SECTION("an event has no id") {
+    REQUIRE(splitter.Feed("data: x\n\n") == "data: x\n\n");
+    REQUIRE(splitter.last_id().empty());
+    REQUIRE(splitter.events() == 1);
+  }
+}
+
+TEST_CASE("a stream that is cut anywhere and resumed") {
+  REQUIRE(rc::check("delivers each event once and in order", [] {
+    const int count = *rc::gen::inRange(1, 30);
+    EventSplitter splitter;
+    std::string delivered;
+    int next = 0;
+    for (int run = 0; run < 4; ++run) {
+      // A later run may begin with events that were delivered already.
+      const int back = run == 0 ? 0 : *rc::gen::inRange(0, next + 1);
+      const std::string whole = Events(next - back, count);
+      const auto cut =
+          run == 3 ? whole.size()
+                   : *rc::gen::inRange<std::size_t>(0, whole.size() + 1);
+      std::size_t at = 0;
+      while (at < cut) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 40);
+        const auto piece = whole.substr(at, std::min(size, cut - at));
+        delivered += splitter.Feed(piece);
+        at += piece.size();
+      }
+      next = splitter.last_id().empty() ? 0 : std::stoi(splitter.last_id()) + 1;
+      splitter.Restart();
+    }
+    RC_ASSERT(delivered == Events(0, count));
+  }));
+}
+
+}  // namespace
+}  // namespace sycamoreford
--- /dev/null
+++ b/tests/support/sample_engine.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "sycamoreford/placement/card.h"
+
+namespace sycamoreford::support {
+
+/// A model of 80 layers over three kinds of accelerators.
+inline EngineProfile SampleEngine() {
+  EngineProfile engine;
+  engine.model = "m";
+  engine.layers = 80;
+  engine.layer_mb = 1'750;
+  engine.token_bytes = 918'000;
+  engine.slots = 192;
+  engine.step = std::chrono::duration<double, std::milli>(1.02);
+  engine.load = std::chrono::duration<double>(14);
+  engine.usual_prompt_tokens = 774;
+  engine.usual_answer_tokens = 203;
+  engine.kinds = {{"large", {72'000, 2.4, 3.2}},
+                  {"medium", {43'200, 5.6, 2.7}},
+                  {"small", {21'600, 16, 8.2}}};
+  return engine;
+}
+
+/// A card of a kind of `SampleEngine`, holding `layers`.
+inline Card SampleCard(const std::string& id,
+                       const std::string& kind,
+                       LayerRange layers = {}) {
+  Card card;
+  card.id = id;
+  card.address = "10.0.0.1:" + id;
+  card.data_centre = "north";
+  card.kind = SampleEngine().kinds.at(kind);
+  card.layers = layers;
+  return card;
+}
+
+}  // namespace sycamoreford::support
