Prefer another chain for a request that one has failed; test the relay on the loopback

Cause: relay_path_test: a request whose answer was lost went to the same chain again, and one whose time had passed was sent with its last millisecond. Change: chains that were tried come last; below 20 ms nothing is sent.

--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -37,6 +37,9 @@
 /// are repaired; spread, so that they do not return together.
 inline constexpr std::chrono::milliseconds kComeBackLeast{300};
 inline constexpr std::chrono::milliseconds kComeBackMost{1'500};
+/// With less time left a request is not sent any more: no endpoint could answer
+/// it.
+inline constexpr std::chrono::milliseconds kLeastTimeLeft{20};
 /// Urgency of a first send by priority, and of a stream that goes on elsewhere:
 /// that one is late already, and new ones are not yet.
 inline constexpr std::uint32_t kMostUrgentResume = 6;
@@ -197,7 +200,7 @@
 
   /// The final answer to a request that no endpoint answered.
   [[nodiscard]] Refusal GivenUp(const Passage& passage) const {
-    const bool late = clock_.Now() >= passage.limit;
+    const bool late = passage.TimeLeft(clock_.Now()) < relay::kLeastTimeLeft;
     if (passage.may_have_run) {
       return late ? Refusal::kTimedOut : Refusal::kAnswerLost;
     }
@@ -208,7 +211,8 @@
   bool MaySendAgain(Passage& passage) {
     const TimePoint now = clock_.Now();
     if (passage.connect_failures >= relay::kMostConnectFailures ||
-        passage.sends >= relay::kMostSends || now >= passage.limit) {
+        passage.sends >= relay::kMostSends ||
+        passage.TimeLeft(now) < relay::kLeastTimeLeft) {
       return false;
     }
     if (passage.sends == 0) {
@@ -384,13 +388,12 @@
     StreamProgress progress;
     const double tokens = ExpectedTokens(passage);
     while (MaySendAgain(passage)) {
-      const std::set<std::string> firsts =
-          passage.tried.size() < passage.route->max_attempts
-              ? std::set<std::string>()
-              : passage.tried;
+      const bool only_tried =
+          passage.tried.size() >= passage.route->max_attempts;
       const ServingChain* chain =
           state_.Chains(*passage.service, clock_.Now())
-              .Pick(tokens, state_.daemons(), firsts, clock_.Now());
+              .Pick(tokens, state_.daemons(), passage.tried, only_tried,
+                    clock_.Now());
       if (chain == nullptr) {
         break;
       }
--- a/include/sycamoreford/relay/chain_selector.h
+++ b/include/sycamoreford/relay/chain_selector.h
@@ -39,11 +39,14 @@
   ///
   /// \param tokens that the request will take at its end.
   /// \param daemons daemons that share the chains; at least 1.
-  /// \param firsts when not empty, the chain must begin with one of these.
+  /// \param tried first endpoints that the request was sent to; others are
+  ///     preferred.
+  /// \param only_tried whether it may not be sent to others.
   /// \returns nothing when no chain has room. Valid until `SetChains`.
   [[nodiscard]] const ServingChain* Pick(double tokens,
                                          std::uint32_t daemons,
-                                         const std::set<std::string>& firsts,
+                                         const std::set<std::string>& tried,
+                                         bool only_tried,
                                          TimePoint now) const;
 
   /// The first endpoint of a chain stated its load.
--- a/src/relay/chain_selector.cc
+++ b/src/relay/chain_selector.cc
@@ -12,6 +12,9 @@
 /// The same for each millisecond that a token takes longer: a request on a slow
 /// chain holds its memory for longer.
 constexpr double kStepPenalty = 0.05;
+/// The same for a chain that has failed or refused the request: it is taken
+/// when there is no other.
+constexpr double kTriedPenalty = 10;
 /// Requests are refused above this share of the room. They take their full
 /// memory only at their end, so that a full chain still carries this much.
 constexpr double kMostUsed = 1.1;
@@ -41,13 +44,15 @@
 
 const ServingChain* ChainSelector::Pick(double tokens,
                                         std::uint32_t daemons,
-                                        const std::set<std::string>& firsts,
+                                        const std::set<std::string>& tried,
+                                        bool only_tried,
                                         TimePoint now) const {
   const ServingChain* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const ServingChain& chain : chains_) {
     const std::string& first = chain.stages.front().endpoint.value();
-    if (!firsts.empty() && !firsts.contains(first)) {
+    const bool was_tried = tried.contains(first);
+    if (only_tried && !was_tried) {
       continue;
     }
     const double used =
@@ -57,7 +62,8 @@
     }
     const double cost =
         used + kStepPenalty * chain.step.count() +
-        (chain.data_centre == data_centre_ ? 0 : kRemotePenalty);
+        (chain.data_centre == data_centre_ ? 0 : kRemotePenalty) +
+        (was_tried ? kTriedPenalty : 0);
     if (cost < best_cost) {
       best_cost = cost;
       best = &chain;
--- a/tests/relay_decisions_test.cc
+++ b/tests/relay_decisions_test.cc
@@ -135,24 +135,32 @@
       {MakeChain("n", "north", 10'000), MakeChain("s", "south", 10'000)});
 
   SECTION("the own data centre's is taken first") {
-    const auto* chain = selector.Pick(900, 1, {}, kStart);
+    const auto* chain = selector.Pick(900, 1, {}, false, kStart);
     REQUIRE(chain->data_centre == "north");
 
     SECTION("until it is clearly fuller than another") {
       for (int i = 0; i < 4; ++i) {
         selector.OnSent(chain->stages, 900);
       }
-      REQUIRE(selector.Pick(900, 1, {}, kStart)->data_centre == "south");
+      REQUIRE(selector.Pick(900, 1, {}, false, kStart)->data_centre == "south");
     }
 
     SECTION("a request that may not go elsewhere stays") {
       for (int i = 0; i < 4; ++i) {
         selector.OnSent(chain->stages, 900);
       }
-      REQUIRE(selector.Pick(900, 1, {"n"}, kStart)->data_centre == "north");
+      REQUIRE(selector.Pick(900, 1, {"n"}, true, kStart)->data_centre ==
+              "north");
     }
   }
 
+  SECTION("a chain that failed the request is taken when there is no other") {
+    REQUIRE(selector.Pick(900, 1, {"n"}, false, kStart)->data_centre ==
+            "south");
+    selector.SetChains({MakeChain("n", "north", 10'000)});
+    REQUIRE(selector.Pick(900, 1, {"n"}, false, kStart) != nullptr);
+  }
+
   SECTION("what fits nowhere is refused at once") {
     const Chain north = MakeChain("n", "north", 0).stages;
     const Chain south = MakeChain("s", "south", 0).stages;
@@ -160,21 +168,22 @@
       selector.OnSent(north, 900);
       selector.OnSent(south, 900);
     }
-    REQUIRE(selector.Pick(900, 1, {}, kStart) == nullptr);
+    REQUIRE(selector.Pick(900, 1, {}, false, kStart) == nullptr);
 
     SECTION("and taken again once requests have ended") {
       for (int i = 0; i < 5; ++i) {
         selector.OnEnded(south, 900);
       }
-      REQUIRE(selector.Pick(900, 1, {}, kStart) != nullptr);
+      REQUIRE(selector.Pick(900, 1, {}, false, kStart) != nullptr);
     }
 
     SECTION("unless the endpoint states that there is room") {
       selector.OnStatedLoad("s", {.running = 2}, kStart);
-      REQUIRE(selector.Pick(900, 1, {}, kStart)->data_centre == "south");
+      REQUIRE(selector.Pick(900, 1, {}, false, kStart)->data_centre == "south");
 
       SECTION("a statement grows old") {
-        REQUIRE(selector.Pick(900, 1, {}, kStart + seconds(1)) == nullptr);
+        REQUIRE(selector.Pick(900, 1, {}, false, kStart + seconds(1)) ==
+                nullptr);
       }
     }
   }
@@ -183,8 +192,8 @@
     const Chain north = MakeChain("n", "north", 0).stages;
     selector.OnSent(north, 900);
     selector.OnSent(MakeChain("s", "south", 0).stages, 900);
-    REQUIRE(selector.Pick(900, 1, {}, kStart) != nullptr);
-    REQUIRE(selector.Pick(900, 20, {}, kStart) == nullptr);
+    REQUIRE(selector.Pick(900, 1, {}, false, kStart) != nullptr);
+    REQUIRE(selector.Pick(900, 20, {}, false, kStart) == nullptr);
   }
 }
 
--- /dev/null
+++ b/tests/support/relay_stand.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "dialect.h"
+#include "endpoint_client.h"
+#include "fakes/scripted_endpoint.h"
+#include "support/raw_connection.h"
+#include "support/sample_engine.h"
+#include "sycamoreford/adapters/endpoint_inspector.h"
+#include "sycamoreford/adapters/http_server.h"
+#include "sycamoreford/adapters/relay_handler.h"
+#include "sycamoreford/adapters/relay_state.h"
+
+namespace sycamoreford::support {
+
+/// A relay on the loopback before scripted endpoints: two of a plain service
+/// and two, in two data centres, that hold a whole model each.
+///
+/// Thread safety: set up before `Start`; then only through connections.
+class RelayStand {
+ public:
+  RelayStand() {
+    AddPlain("p1", plain_1);
+    AddPlain("p2", plain_2);
+    AddModel("m1", "north", model_1);
+    AddModel("m2", "south", model_2);
+  }
+  ~RelayStand() {
+    context.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  RelayStand(const RelayStand&) = delete;
+  RelayStand& operator=(const RelayStand&) = delete;
+
+  /// Puts the sample configuration into force and begins to serve.
+  ///
+  /// \param change changes the route of the name that it is given.
+  void Start(const std::function<void(RelayRoute&)>& change = {}) {
+    Manifest::Builder builder(1);
+    for (RelayRoute route : Routes()) {
+      if (change) {
+        change(route);
+      }
+      builder.AddRoute(route);
+    }
+    RelayService plain;
+    plain.name = "plain";
+    RelayService model;
+    model.name = "model";
+    model.engine = SampleEngine();
+    model.engine->kinds["whole"] = {300'000, 1, 1};
+    RelayCustomer customer;
+    customer.name = "bells";
+    customer.api_keys = {"key-1"};
+    customer.priority = 2;
+    state.Accept(builder.AddService(plain)
+                     .AddService(model)
+                     .AddCustomer(customer)
+                     .Build());
+    state.SetDaemons(1);
+    StartWithoutConfiguration();
+  }
+
+  void StartWithoutConfiguration() {
+    thread_ = std::thread([this] { context.run(); });
+  }
+
+  /// Sends a request and reads until the answer's connection ends.
+  std::string Ask(const std::string& method,
+                  const std::string& path,
+                  const std::string& extra = "Api-Key: key-1\r\n",
+                  const std::string& body = "") const {
+    RawConnection connection(server.address());
+    connection.Send(Request(method, path, extra, body));
+    return connection.ReadAll();
+  }
+
+  [[nodiscard]] static std::string Request(const std::string& method,
+                                           const std::string& path,
+                                           const std::string& extra,
+                                           const std::string& body = "") {
+    return method + " " + path +
+           " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n"
+           "X-Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n" + extra + "\r\n" + body;
+  }
+
+  boost::asio::io_context context{1};
+  fakes::ScriptedEndpoint plain_1{context};
+  fakes::ScriptedEndpoint plain_2{context};
+  fakes::ScriptedEndpoint model_1{context};
+  fakes::ScriptedEndpoint model_2{context};
+  SteadyClock clock;
+  RelayState state{"north", RetryAllowance{.ratio = 0.2, .extra = 100}};
+  platform::EndpointClient control;
+  EndpointInspector<platform::EndpointClient, SteadyClock> inspector{
+      state, control, clock};
+  RelayHandler<platform::Dialect, SteadyClock> handler{state, clock};
+  HttpServer server{
+      context, "127.0.0.1:0", HttpLimits{},
+      [this](HttpExchange& exchange) { return handler.Handle(exchange); }};
+
+ private:
+  static std::vector<RelayRoute> Routes() {
+    const auto make = [](const std::string& path, Repeatability repeatability,
+                         const std::string& service) {
+      RelayRoute route;
+      route.name = path;
+      route.host = "a.example";
+      route.path_prefix = "/" + path + "/";
+      route.repeatability = repeatability;
+      route.streams = service == "model";
+      route.max_attempts = 2;
+      route.services = {{service, 1}};
+      return route;
+    };
+    return {make("safe", Repeatability::kIdempotent, "plain"),
+            make("once", Repeatability::kOnce, "plain"),
+            make("stream", Repeatability::kResumable, "model"),
+            make("stream-once", Repeatability::kOnce, "model")};
+  }
+
+  void AddPlain(const std::string& id,
+                const fakes::ScriptedEndpoint& endpoint) {
+    EndpointRecord record;
+    record.id = id;
+    record.service = "plain";
+    record.address = endpoint.address();
+    record.data_centre = "north";
+    state.directory().Upsert(record);
+  }
+
+  void AddModel(const std::string& id,
+                const std::string& data_centre,
+                const fakes::ScriptedEndpoint& endpoint) {
+    EndpointRecord record;
+    record.id = id;
+    record.service = "model";
+    record.address = endpoint.address();
+    record.data_centre = data_centre;
+    record.kind = "whole";
+    record.layers = {0, 80};
+    state.directory().Upsert(record);
+  }
+
+  std::thread thread_;
+};
+
+}  // namespace sycamoreford::support
