--- a/tests/fakes/fake_stage.cc
+++ b/tests/fakes/fake_stage.cc
@@ -88,6 +88,7 @@
         connected_ = true;
       }
       http::request<http::string_body> request(http::verb::post, target, 11);
+      request.set(http::field::host, address_);
       request.body() = json::serialize(body);
       request.prepare_payload();
       co_await http::async_write(stream_, request, use_awaitable);
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,226 @@
+// The platform's settings, configuration, list of endpoints and headers, as the
+// product's types.
+#include <catch2/catch.hpp>
+
+#include "dialect.h"
+#include "endpoint_codec.h"
+#include "manifest_codec.h"
+#include "settings.h"
+
+namespace sycamoreford::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kSettings =
+    "NodeName=front-1\nRole=relay\nZone=north\nIp=10.1.0.4\n"
+    "Listen.Front=10.1.0.4:8227\nListen.Ready=10.1.0.4:8220\n"
+    "InternalPorts=7340,7355\nPlatform.Address=10.9.0.1:8223\n"
+    "Bounds.GraceS=8\nBounds.DrainMs=2000\nBounds.RetryBudgetRatio=0.2\n"
+    "Bounds.BudgetExtra=202\nBounds.BudgetWindowS=10\nSomething.New=1\n";
+
+TEST_CASE("the settings file") {
+  std::vector<SettingsFault> faults;
+
+  SECTION("is read whole, and unknown fields are passed over") {
+    const auto settings = DaemonSettings::Parse(kSettings, faults);
+    REQUIRE(faults.empty());
+    REQUIRE(settings.vm == "front-1");
+    REQUIRE(settings.data_centre == "north");
+    REQUIRE(settings.first_internal_port == 7340);
+    REQUIRE(settings.stop_grace == milliseconds(8'000));
+    REQUIRE(settings.retries.window == milliseconds(10'000));
+    REQUIRE(settings.retries.extra == 202);
+  }
+
+  SECTION("each missing field is named") {
+    std::istringstream lines(kSettings);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.starts_with("Role") || line.starts_with("Something")) {
+        continue;
+      }
+      std::string without = kSettings;
+      without.erase(without.find(line + "\n"), line.size() + 1);
+      faults.clear();
+      (void)DaemonSettings::Parse(without, faults);
+      REQUIRE(faults.size() == 1);
+      REQUIRE(faults.front().field == line.substr(0, line.find('=')));
+    }
+  }
+
+  SECTION("a wrong number is named") {
+    const std::string wrong = GENERATE("x", "-1", "1.5.2", "3s", "");
+    std::string text = kSettings;
+    text.replace(text.find("GraceS=8"), 8, "GraceS=" + wrong);
+    (void)DaemonSettings::Parse(text, faults);
+    REQUIRE(faults.size() == 1);
+    REQUIRE(faults.front().field == "Bounds.GraceS");
+  }
+}
+
+TEST_CASE("the operators' configuration") {
+  const std::string text = R"({"Version":7,"Routes":[
+    {"Name":"r1","Host":"a.example","PathPrefix":"/x/","Kind":"stream",
+     "TimeoutMs":20000,"TargetLatencyMs":500,"Priority":1,
+     "TrafficSplit":[{"Service":"m","Weight":90},{"Service":"n","Weight":10}],
+     "MaxAttempts":2,"AllowAnonymous":false,"StreamResume":true},
+    {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Kind":"unsafe",
+     "Service":"n"},
+    {"Name":"r3","Host":"a.example","PathPrefix":"/z/","Kind":"stream",
+     "Service":"m"},
+    {"Name":"r4","Host":"a.example","PathPrefix":"/s/","Kind":"safe",
+     "Service":"n","AllowAnonymous":true}],
+   "Services":[{"Name":"m","MaxConnections":978,"Engine":{"Slots":192,
+     "KvTokenBytes":918000,"Models":[{"Name":"d","LoadS":14.0}],"step_ms":1.02,
+     "usual":{"prompt":774,"answer":203},"Layers":80,"LayerMb":1750.0,
+     "Kinds":[{"Name":"a100","Mb":72000.0,"pace":2.4,"ReadFactor":3.2}]}},
+     {"Name":"n","MaxConnections":110}],
+   "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,
+     "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+   "Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":1}]})";
+
+  SECTION("is decoded whole") {
+    const auto manifest = DecodeManifest(text);
+    REQUIRE(manifest.has_value());
+    REQUIRE((*manifest)->revision() == 7);
+    REQUIRE((*manifest)->route_count() == 4);
+    const auto route = [&](const std::string& path) {
+      return (*manifest)->FindRoute("a.example", path);
+    };
+    REQUIRE(route("/x/1")->repeatability == Repeatability::kResumable);
+    REQUIRE(route("/x/1")->services.size() == 2);
+    REQUIRE(route("/x/1")->time_limit == milliseconds(20'000));
+    REQUIRE(route("/y/1")->repeatability == Repeatability::kOnce);
+    REQUIRE(route("/z/1")->repeatability == Repeatability::kOnce);
+    REQUIRE(route("/z/1")->streams);
+    REQUIRE(route("/s/1")->repeatability == Repeatability::kIdempotent);
+    REQUIRE(route("/s/1")->allows_anonymous);
+    REQUIRE((*manifest)->FindCustomer("k")->priority == 1U);
+    const auto& engine = (*manifest)->FindService("m")->engine;
+    REQUIRE(engine->layers == 80);
+    REQUIRE(engine->kinds.at("a100").memory_mb == 72'000);
+    REQUIRE_FALSE((*manifest)->FindService("n")->engine);
+    REQUIRE((*manifest)->limits().idle_timeout == milliseconds(15'000));
+  }
+
+  SECTION("what can't be read is refused with its place") {
+    REQUIRE(DecodeManifest("{").error().where.find("not a JSON object") !=
+            std::string::npos);
+    REQUIRE(DecodeManifest("{}").error().where.find("Version") !=
+            std::string::npos);
+    REQUIRE(DecodeManifest(R"({"Version":1,"Routes":[{"Host":1}]})")
+                .error()
+                .where.find("Routes") != std::string::npos);
+  }
+}
+
+TEST_CASE("entries of the list of endpoints") {
+  const std::string text =
+      R"({"Service":"m","Address":"10.0.0.9:80","Zone":"north","Slots":192,)"
+      R"("State":"ready","Sequence":4,"Kind":"a100","born":1700000000123,)"
+      R"("Models":[],"Layers":{"From":20,"To":31,"Version":1}})";
+
+  SECTION("are decoded") {
+    const auto record = DecodeEndpoint("i-1", text);
+    REQUIRE(record.has_value());
+    REQUIRE(record->id == "i-1");
+    REQUIRE(record->layers == LayerRange{20, 31});
+    REQUIRE(record->started_at_ms == 1'700'000'000'123U);
+    REQUIRE_FALSE(record->is_leaving);
+  }
+  SECTION("from another writer name no endpoint") {
+    const std::string entry = GENERATE(
+        "", "\x01\xff", "[]", "{}", R"({"Service":"m","Address":"1:2"})",
+        R"({"Service":1,"Address":"1:2","State":"ready"})",
+        R"({"Service":"m","Address":"1:2","State":"weird"})",
+        R"({"Service":"m","Address":null,"State":"ready"})");
+    REQUIRE_FALSE(DecodeEndpoint("i-1", entry).has_value());
+  }
+  SECTION("a report names the stages that hold requests up") {
+    const auto report = DecodeReport(
+        R"({"Busy":true,"Sequence":3,"Layers":{"From":0,"To":25},"pace":2.5,)"
+        R"("Stalled":[{"Id":"r","Address":"1.2.3.4:5"}]})");
+    REQUIRE(report->is_busy);
+    REQUIRE(report->order_sequence == 3);
+    REQUIRE(report->slowness == 2.5);
+    REQUIRE(report->stalled.front().address == "1.2.3.4:5");
+  }
+}
+
+TEST_CASE("headers") {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/x/1?q=2";
+  request.fields.Add("Host", "a.example");
+  request.fields.Add("X-Attempt-Id", "r1");
+  request.fields.Add("X-Deadline-Ms", "1500");
+  request.fields.Add("X-Token-Counts", "1460,80");
+  request.fields.Add("Connection", "X-Hop");
+  request.fields.Add("X-Hop", "1");
+
+  SECTION("of a request") {
+    const auto decoded = Dialect::Decode(request);
+    REQUIRE(decoded->id == "r1");
+    REQUIRE(decoded->path == "/x/1");
+    REQUIRE(decoded->patience == milliseconds(1'500));
+    REQUIRE(decoded->prompt_tokens == 1'460);
+    REQUIRE(decoded->answer_tokens == 80);
+
+    SECTION("the caller's guess of the length goes before its limit") {
+      request.fields.Add("X-Length-Hint", "33");
+      REQUIRE(Dialect::Decode(request)->answer_tokens == 33);
+    }
+    SECTION("a time that is no number is refused") {
+      HttpRequest wrong;
+      wrong.fields.Add("X-Attempt-Id", "r1");
+      wrong.fields.Add("X-Deadline-Ms", "soon");
+      REQUIRE(Dialect::Decode(wrong).error().where == "X-Deadline-Ms");
+    }
+  }
+
+  SECTION("of one connection stay there") {
+    const HttpRequest encoded = Dialect::Encode(request, ForwardOrder{});
+    REQUIRE(encoded.fields.Get("Connection").empty());
+    REQUIRE(encoded.fields.Get("X-Hop").empty());
+    REQUIRE(encoded.fields.Get("Host") == "a.example");
+  }
+
+  SECTION("of a chain name each stage and its layers in order") {
+    ForwardOrder order;
+    ChainStage first;
+    first.address = "10.0.0.1:80";
+    first.layers = {0, 20};
+    ChainStage second;
+    second.address = "10.0.0.2:80";
+    second.layers = {20, 80};
+    order.stages = {first, second};
+    REQUIRE(Dialect::Encode(request, order).fields.Get("X-Router-Hops") ==
+            "10.0.0.1:80=0-20,10.0.0.2:80=20-80");
+  }
+
+  SECTION("of an answer") {
+    HttpFields fields;
+    fields.Add("X-Attempt-Id", "r1");
+    fields.Add("X-Response-Seal", "s");
+    fields.Add("X-Replica-Load", "3,1,8");
+    REQUIRE(Dialect::Judge("r1", 200, fields).IsTrusted());
+    REQUIRE(Dialect::Judge("r1", 200, fields).load->waiting == 1);
+    REQUIRE_FALSE(Dialect::Judge("r2", 200, fields).IsTrusted());
+    REQUIRE_FALSE(Dialect::Judge("r1", 200, fields).is_not_run);
+    REQUIRE(Dialect::Judge("r1", 421, fields).is_not_run);
+  }
+
+  SECTION("of refusals promise only what is known") {
+    const auto refuse = [](Refusal refusal) {
+      return Dialect::Refuse(refusal, milliseconds(1'250));
+    };
+    REQUIRE(refuse(Refusal::kNoEndpoint).status == 503);
+    REQUIRE(refuse(Refusal::kNoEndpoint).fields.Get("Retry-After") == "1.250");
+    REQUIRE(refuse(Refusal::kAnswerLost).status == 502);
+    REQUIRE(refuse(Refusal::kAnswerLost).fields.Get("Retry-After").empty());
+    REQUIRE(refuse(Refusal::kTimedOut).status == 504);
+  }
+}
+
+}  // namespace
+}  // namespace sycamoreford::platform
