Tell other daemons of trouble, look at all stages of a silent chain, and at slow ones

Stages that had turned twelve times slower stayed in the chains. Change: hints by datagram, which make the others look for themselves; silence is measured by the chain's own pace; all stages behind it are asked; what they state of their slowness counts when chains are built.

--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -35,9 +35,12 @@
     for (;;) {
       co_await Pause(kInterval);
       const TimePoint now = clock_.Now();
-      for (std::string& first : state_.silence().Silent(now)) {
-        boost::asio::co_spawn(executor, Inspect(std::move(first)),
-                              boost::asio::detached);
+      for (const std::string& first : state_.silence().ToInspect(now)) {
+        // The first endpoint knows of stalls a little later only; a stage that
+        // is dead doesn't answer at once.
+        for (const std::string& id : state_.StagesBehind(first)) {
+          boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+        }
       }
       for (const auto& [id, known] : state_.directory().endpoints()) {
         const bool ends_soon = known.suspected_until > now &&
@@ -51,7 +54,7 @@
 
  private:
   /// Time from one look at all chains to the next.
-  static constexpr std::chrono::milliseconds kInterval{50};
+  static constexpr std::chrono::milliseconds kInterval{40};
   /// Before the end of a suspicion the endpoint is asked; longer than it may
   /// take to answer, so that a dead one is never used in between.
   static constexpr std::chrono::milliseconds kLookAhead{500};
@@ -76,6 +79,7 @@
       co_return;
     }
     state_.directory().OnLayers(id, report->layers);
+    state_.directory().OnSlowness(id, report->slowness);
     state_.directory().OnAlive(id, clock_.Now());
     for (const StalledRequest& stalled : report->stalled) {
       const KnownEndpoint* blamed =
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -56,7 +56,6 @@
   TimePoint arrived{};
   /// When the caller or the route gives up.
   TimePoint limit{};
-  TimePoint first_event{};
   int sends = 0;
   int connect_failures = 0;
   /// Whether an endpoint may have run it.
@@ -381,6 +380,18 @@
   struct StreamProgress {
     EventSplitter events;
     bool has_begun = false;
+    TimePoint first_event{};
+    TimePoint last_event{};
+    Duration longest_pause{0};
+
+    void OnDelivered(TimePoint now) {
+      if (first_event == TimePoint{}) {
+        first_event = now;
+      } else {
+        longest_pause = std::max(longest_pause, now - last_event);
+      }
+      last_event = now;
+    }
   };
 
   boost::asio::awaitable<void> ServeByChain(HttpExchange& exchange,
@@ -463,6 +474,7 @@
     void Progressed(TimePoint now) {
       state_.silence().OnProgress(first(), now);
     }
+    void Paused(Duration pause) { state_.silence().OnPause(first(), pause); }
     void Stated(StatedLoad load, TimePoint now) {
       selector_.OnStatedLoad(first(), load, now);
     }
@@ -603,9 +615,11 @@
       }
       const std::string_view whole = progress.events.Feed(**bytes);
       if (!whole.empty()) {
-        if (passage.first_event == TimePoint{}) {
-          passage.first_event = clock_.Now();
+        const TimePoint now = clock_.Now();
+        if (progress.last_event != TimePoint{}) {
+          use.Paused(now - progress.last_event);
         }
+        progress.OnDelivered(now);
         co_await exchange.SendChunk(whole);
       }
     }
@@ -617,7 +631,7 @@
     }
     state_.directory().OnSuccess(first, clock_.Now());
     co_await exchange.EndStream();
-    LogAnswered(passage, first, progress.events.events());
+    LogAnswered(passage, first, progress);
     co_return Sent::kDone;
   }
 
@@ -640,7 +654,7 @@
   /// Ordinary successes are sampled; those that took several sends are not.
   void LogAnswered(const Passage& passage,
                    const std::string& endpoint,
-                   std::uint64_t events) {
+                   const StreamProgress& progress) {
     constexpr std::uint64_t kSample = 16;
     if (passage.sends <= 1 && ++answered_ % kSample != 0) {
       return;
@@ -649,12 +663,15 @@
     LogEvent(Severity::kInfo, "answered")
         .With("request", passage.request.id)
         .With("endpoint", endpoint)
-        .With("events", events)
+        .With("events", progress.events.events())
         .With("sends", passage.sends)
         .With("revision", passage.manifest->revision())
         .With("first_event_ms",
               std::chrono::duration_cast<std::chrono::milliseconds>(
-                  passage.first_event - passage.arrived))
+                  progress.first_event - passage.arrived))
+        .With("longest_pause_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  progress.longest_pause))
         .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                               now - passage.arrived));
   }
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,18 @@
     inspect_ = std::move(inspect);
   }
 
+  /// Sets what tells other daemons of an endpoint that there is trouble with.
+  void SetTeller(std::function<void(const std::string&)> tell) {
+    tell_ = std::move(tell);
+  }
+
+  /// Has an endpoint looked at, without a suspicion.
+  void Inspect(const std::string& id);
+
+  /// Endpoints that requests of this daemon pass behind this first one.
+  [[nodiscard]] std::set<std::string> StagesBehind(
+      const std::string& first) const;
+
   /// A request had trouble with an endpoint: it is not used for a while, and
   /// looked at to learn whether it is lost.
   void OnTrouble(const std::string& id, TimePoint now);
@@ -109,6 +122,7 @@
   std::list<ActiveAttempt> attempts_;
   std::uint32_t daemons_;
   std::function<void(std::string)> inspect_;
+  std::function<void(const std::string&)> tell_;
 };
 
 /// The cards of a service among its endpoints.
--- a/include/sycamoreford/fleet/endpoint_directory.h
+++ b/include/sycamoreford/fleet/endpoint_directory.h
@@ -24,6 +24,8 @@
   /// it is announced again.
   std::optional<TimePoint> dropped_at;
   TimePoint last_success{};
+  /// Times as long as its kind usually takes, as it last stated.
+  double slowness = 1;
 
   [[nodiscard]] bool IsUsable(TimePoint now) const noexcept {
     return !record.is_leaving && now >= suspected_until &&
@@ -69,6 +71,9 @@
   /// A suspected endpoint was found to live; it is spared for a moment only.
   void OnAlive(std::string_view id, TimePoint now);
 
+  /// The endpoint stated how slow it is. Small changes are passed over.
+  void OnSlowness(std::string_view id, double slowness);
+
   /// A request was answered by the endpoint.
   void OnSuccess(std::string_view id, TimePoint now);
 
--- a/include/sycamoreford/relay/chain_silence.h
+++ b/include/sycamoreford/relay/chain_silence.h
@@ -10,11 +10,13 @@
 
 namespace sycamoreford {
 
-/// Notices chains on which nothing moves any more.
+/// Notices chains on which nothing moves any more, or that have become slow.
 ///
 /// All streams of a chain stop together when one of its stages dies or freezes,
-/// long before the endpoints give the streams up. Load answered: a lost card
-/// cuts a hundred streams, which are moved while their callers still wait.
+/// long before the endpoints give the streams up; a slow stage holds all of
+/// them up. Load answered: a lost card cuts a hundred streams, which are moved
+/// while their callers still wait. The pause that is allowed follows the
+/// chain's own pace.
 ///
 /// Thread safety: none.
 class ChainSilence {
@@ -23,12 +25,15 @@
   void OnSent(const std::string& first, TimePoint now);
   /// Something arrived from the chain.
   void OnProgress(const std::string& first, TimePoint now);
+  /// A stream got its next event after a pause.
+  void OnPause(const std::string& first, Duration pause);
   /// The request ended or left the chain.
   void OnEnded(const std::string& first);
 
-  /// Chains to look at: they carry requests, and nothing arrived for longer
-  /// than a chain's usual pause. Each is named again only after a while.
-  [[nodiscard]] std::vector<std::string> Silent(TimePoint now);
+  /// Chains to look at: they carry requests, and either nothing arrived for
+  /// longer than a chain's usual pause, or their pauses are long. Each is named
+  /// again only after a while, which grows as long as nothing is found.
+  [[nodiscard]] std::vector<std::string> ToInspect(TimePoint now);
 
  private:
   struct Activity {
@@ -36,7 +41,10 @@
     /// Whether anything has arrived since it was last idle.
     bool has_moved = false;
     TimePoint last{};
-    TimePoint asked{};
+    TimePoint ask_at{};
+    Duration ask_again{0};
+    /// Running mean of the pauses of its streams, in ms.
+    double pause_ms = 0;
   };
 
   std::map<std::string, Activity> chains_;
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -44,6 +44,8 @@
                      .data_centre = record.data_centre,
                      .kind = kind->second,
                      .layers = record.layers});
+    cards.back().kind.step_factor *= known.slowness;
+    cards.back().kind.read_factor *= known.slowness;
   }
   return cards;
 }
@@ -134,8 +136,27 @@
   attempts_.erase(attempt);
 }
 
+std::set<std::string> RelayState::StagesBehind(const std::string& first) const {
+  std::set<std::string> ids;
+  for (const ActiveAttempt& attempt : attempts_) {
+    if (attempt.stages.front().endpoint.value() == first) {
+      for (const ChainStage& stage : attempt.stages) {
+        ids.insert(stage.endpoint.value());
+      }
+    }
+  }
+  return ids;
+}
+
 void RelayState::OnTrouble(const std::string& id, TimePoint now) {
   directory_.Suspect(id, now);
+  Inspect(id);
+  if (tell_) {
+    tell_(id);
+  }
+}
+
+void RelayState::Inspect(const std::string& id) {
   if (inspect_) {
     inspect_(id);
   }
@@ -144,7 +165,12 @@
 void RelayState::OnEndpointLost(const std::string& id,
                                 std::string_view reason,
                                 TimePoint now) {
+  const KnownEndpoint* known = directory_.Find(id);
+  const bool is_news = known != nullptr && known->IsUsable(now);
   const Duration time = directory_.Suspect(id, now);
+  if (is_news && tell_) {
+    tell_(id);
+  }
   std::size_t aborted = 0;
   for (ActiveAttempt& attempt : attempts_) {
     const bool passes = std::any_of(
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -17,6 +17,9 @@
 /// the time in which some of its requests end.
 constexpr std::chrono::milliseconds kSpared{100};
 
+/// Factor by which a statement of slowness has to differ to count.
+constexpr double kSlownessStep = 1.3;
+
 bool IsSameRun(const EndpointRecord& one, const EndpointRecord& other) {
   return one.id == other.id && one.started_at_ms == other.started_at_ms &&
          one.address == other.address;
@@ -109,6 +112,19 @@
   ++version_;
 }
 
+void EndpointDirectory::OnSlowness(std::string_view id, double slowness) {
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  const double stated = std::max(1.0, slowness);
+  double& known = found->second.slowness;
+  if (stated > known * kSlownessStep || stated * kSlownessStep < known) {
+    known = stated;
+    ++version_;
+  }
+}
+
 void EndpointDirectory::OnSuccess(std::string_view id, TimePoint now) {
   const auto found = endpoints_.find(id);
   if (found != endpoints_.end()) {
--- a/tests/relay_decisions_test.cc
+++ b/tests/relay_decisions_test.cc
@@ -241,25 +241,52 @@
 
 TEST_CASE("noticing that nothing moves on a chain") {
   ChainSilence silence;
+  const auto named = [&](int ms) {
+    return silence.ToInspect(kStart + milliseconds(ms)).size() == 1;
+  };
   silence.OnSent("a", kStart);
 
   SECTION("a first answer may take longer than an event") {
-    REQUIRE(silence.Silent(kStart + milliseconds(500)).empty());
-    REQUIRE(silence.Silent(kStart + milliseconds(800)).size() == 1);
+    REQUIRE_FALSE(named(500));
+    REQUIRE(named(800));
   }
   SECTION("events stop") {
     silence.OnProgress("a", kStart + milliseconds(100));
-    REQUIRE(silence.Silent(kStart + milliseconds(350)).empty());
-    REQUIRE(silence.Silent(kStart + milliseconds(450)).size() == 1);
+    REQUIRE_FALSE(named(200));
+    REQUIRE(named(230));
 
     SECTION("it is named once in a while only") {
-      REQUIRE(silence.Silent(kStart + milliseconds(500)).empty());
-      REQUIRE(silence.Silent(kStart + milliseconds(800)).size() == 1);
+      REQUIRE_FALSE(named(400));
+      REQUIRE(named(800));
+    }
+  }
+  SECTION("a chain with longer pauses is given more time") {
+    for (int i = 0; i < 100; ++i) {
+      silence.OnPause("a", milliseconds(80));
+    }
+    silence.OnProgress("a", kStart + milliseconds(100));
+    REQUIRE_FALSE(named(330));
+    REQUIRE(named(350));
+  }
+  SECTION("a chain whose pauses come near to being late is looked at") {
+    for (int i = 0; i < 100; ++i) {
+      silence.OnPause("a", milliseconds(150));
+    }
+    silence.OnProgress("a", kStart + milliseconds(100));
+    REQUIRE(named(110));
+
+    SECTION("less and less often as long as it is so") {
+      int looks = 0;
+      for (int ms = 120; ms < 10'000; ms += 10) {
+        silence.OnProgress("a", kStart + milliseconds(ms));
+        looks += named(ms) ? 1 : 0;
+      }
+      REQUIRE(looks <= 8);
     }
   }
   SECTION("a chain without requests is silent by right") {
     silence.OnEnded("a");
-    REQUIRE(silence.Silent(kStart + seconds(10)).empty());
+    REQUIRE_FALSE(named(10'000));
   }
 }
 
