End kept connections after their stream in a planned stop; bounded logs, metrics, reload

A stream that had promised to keep its connection before SIGTERM ended after the listener was closed, and the next request on it was taken 6.5 s after SIGTERM and cut off. Ruled out: a request on an idle connection (those are closed after 0.5 s). Change: a connection that outlives the announcement of the stop ends with its response, and what may be on its way is not read (relay_path_test, failing before). Log lines go through a sink that never waits and is bounded by rate; metrics are served.

--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -194,9 +194,17 @@
         .With("sends", passage.sends)
         .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                               clock_.Now() - passage.arrived));
+    Ended(passage, ToString(refusal));
     co_await exchange.Respond(Dialect::Refuse(refusal, ComeBack()));
   }
 
+  void Ended(const Passage& passage, std::string_view outcome) {
+    state_.metrics().OnEnded(
+        passage.service == nullptr ? "" : passage.service->name,
+        passage.customer, outcome, clock_.Now() - passage.arrived,
+        passage.sends);
+  }
+
   /// The final answer to a request that no endpoint answered.
   [[nodiscard]] Refusal GivenUp(const Passage& passage) const {
     const bool late = passage.TimeLeft(clock_.Now()) < relay::kLeastTimeLeft;
@@ -262,6 +270,7 @@
       }
     }
     if (failed_answer) {
+      Ended(passage, "endpoint_failed");
       co_await exchange.Respond(std::move(failed_answer->first));
       co_return;
     }
@@ -370,6 +379,7 @@
       failed_answer.emplace(std::move(response), endpoint);
       co_return Sent::kLost;
     }
+    Ended(passage, is_good ? "answered" : "endpoint_failed");
     co_await exchange.Respond(std::move(response));
     co_return Sent::kDone;
   }
@@ -433,6 +443,7 @@
       co_return;
     }
     // Returning without an end cuts the answer, which the caller can see.
+    Ended(passage, "broken");
     LogEvent(Severity::kWarning, "stream_broken")
         .With("request", passage.request.id)
         .With("events", progress.events.events())
@@ -588,6 +599,7 @@
     }
     HttpResponse response = Dialect::Pass(call.status(), call.fields());
     response.body = std::move(*body);
+    Ended(passage, is_failure ? "endpoint_failed" : "answered");
     co_await exchange.Respond(std::move(response));
     co_return Sent::kDone;
   }
@@ -618,6 +630,9 @@
         const TimePoint now = clock_.Now();
         if (progress.last_event != TimePoint{}) {
           use.Paused(now - progress.last_event);
+        } else {
+          state_.metrics().OnFirstEvent(passage.service->name,
+                                        now - passage.arrived);
         }
         progress.OnDelivered(now);
         co_await exchange.SendChunk(whole);
@@ -631,6 +646,9 @@
     }
     state_.directory().OnSuccess(first, clock_.Now());
     co_await exchange.EndStream();
+    Ended(passage, "answered");
+    state_.metrics().OnLongestPause(passage.service->name,
+                                    progress.longest_pause);
     LogAnswered(passage, first, progress);
     co_return Sent::kDone;
   }
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -17,6 +17,7 @@
 #include "sycamoreford/relay/chain_silence.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
 #include "sycamoreford/relay/manifest.h"
+#include "sycamoreford/relay/relay_metrics.h"
 #include "sycamoreford/relay/service_selector.h"
 
 namespace sycamoreford {
@@ -55,6 +56,10 @@
     return service_selector_;
   }
   [[nodiscard]] ChainSilence& silence() noexcept { return silence_; }
+  [[nodiscard]] RelayMetrics& metrics() noexcept { return metrics_; }
+
+  /// Replaces the allowance of all services' retries.
+  void SetRetryAllowance(RetryAllowance allowance);
 
   /// The chains of a service as of now, rebuilt when its endpoints changed.
   /// Precondition: the service runs a model.
@@ -121,6 +126,7 @@
   EndpointDirectory directory_;
   ServiceSelector service_selector_;
   ChainSilence silence_;
+  RelayMetrics metrics_;
   std::map<std::string, ServiceChains> chains_;
   std::map<std::string, FleetRetryBudget> retries_;
   std::list<ActiveAttempt> attempts_;
--- a/include/sycamoreford/drain/drain_machine.h
+++ b/include/sycamoreford/drain/drain_machine.h
@@ -29,6 +29,9 @@
  public:
   explicit DrainMachine(DrainLimits limits) : limits_(limits) {}
 
+  /// Replaces the limits of the steps that have not begun.
+  void SetLimits(DrainLimits limits) noexcept { limits_ = limits; }
+
   /// A signal or the operator asks for a stop.
   ///
   /// \returns `kAnnounce` the first time, `kNone` each further time.
--- a/include/sycamoreford/metrics/prometheus_text.h
+++ b/include/sycamoreford/metrics/prometheus_text.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "sycamoreford/metrics/metrics_snapshot.h"
+#include "sycamoreford/metrics/time_histogram.h"
 
 namespace sycamoreford {
 
@@ -12,6 +13,25 @@
 /// text format demands.
 [[nodiscard]] std::string EscapeLabel(std::string_view value);
 
+/// Appends the type line of a metric.
+void AppendType(std::string& text,
+                std::string_view name,
+                std::string_view type);
+
+/// Appends one sample.
+///
+/// \param labels pairs of name and quoted value, parted by commas.
+void AppendSample(std::string& text,
+                  const std::string& name,
+                  const std::string& labels,
+                  const std::string& value);
+
+/// Appends a histogram's buckets, sum and count, in seconds.
+void AppendHistogram(std::string& text,
+                     const std::string& name,
+                     const std::string& labels,
+                     const TimeHistogram& histogram);
+
 /// One metric without labels, with its type line.
 ///
 /// \param type `counter` or `gauge`.
--- a/include/sycamoreford/relay/fleet_retry_budget.h
+++ b/include/sycamoreford/relay/fleet_retry_budget.h
@@ -40,6 +40,10 @@
  public:
   explicit FleetRetryBudget(RetryAllowance allowance) : allowance_(allowance) {}
 
+  /// Replaces the allowance. Precondition: the window stays as it is, or what
+  /// was counted may be forgotten.
+  void SetAllowance(RetryAllowance allowance) { allowance_ = allowance; }
+
   /// A caller's request for the service.
   void OnRequest(TimePoint now);
 
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -356,6 +356,25 @@
   }
 }
 
+/// Ends a connection on which the other end may just be sending a request. The
+/// request is not read, so that the other end knows that it was not taken.
+asio::awaitable<void> Part(beast::tcp_stream& stream) {
+  tcp::socket& socket = stream.socket();
+  beast::error_code error;
+  socket.shutdown(tcp::socket::shutdown_send, error);
+  asio::steady_timer bound(socket.get_executor(), kLinger);
+  bound.async_wait([&socket](beast::error_code ended) {
+    beast::error_code ignored;
+    if (!ended) {
+      socket.cancel(ignored);
+    }
+  });
+  co_await socket.async_wait(tcp::socket::wait_read,
+                             asio::redirect_error(use_awaitable, error));
+  bound.cancel();
+  socket.close(error);
+}
+
 /// Reads one request; empty when the connection ended or broke.
 template <class State>
 asio::awaitable<std::optional<http::request<http::string_body>>> ReadRequest(
@@ -445,8 +464,14 @@
     }
     while (open) {
       open = co_await WaitForRequest(state, *connection);
-      if (open) {
-        open = co_await ServeOne(state, *connection);
+      if (!open) {
+        break;
+      }
+      open = co_await ServeOne(state, *connection);
+      if (open && state->ending_connections) {
+        // The header promised to keep the connection before the stop began.
+        co_await Part(connection->stream);
+        open = false;
       }
     }
     co_await Linger(connection->stream);
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -128,6 +128,13 @@
   return retries_.try_emplace(service, retry_allowance_).first->second;
 }
 
+void RelayState::SetRetryAllowance(RetryAllowance allowance) {
+  retry_allowance_ = allowance;
+  for (auto& [service, budget] : retries_) {
+    budget.SetAllowance(allowance);
+  }
+}
+
 std::list<ActiveAttempt>::iterator RelayState::Add(ActiveAttempt attempt) {
   return attempts_.insert(attempts_.end(), std::move(attempt));
 }
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 
 #include <easylogging++.h>
+#include <unistd.h>
+
+#include "sycamoreford/core/log_sink.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -40,6 +43,22 @@
   return "error";
 }
 
+/// Hands the library's lines to the sink on standard output.
+class SinkDispatch final : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) noexcept override {
+    if (data->dispatchAction() != el::base::DispatchAction::NormalLog) {
+      return;
+    }
+    const el::LogMessage& message = *data->logMessage();
+    std::string line = message.logger()->logBuilder()->build(&message, false);
+    sink_.Write(line, std::chrono::steady_clock::now());
+  }
+
+ private:
+  LogSink sink_{STDOUT_FILENO};
+};
+
 }  // namespace
 
 LogEvent::LogEvent(Severity severity, std::string_view event)
@@ -83,7 +102,7 @@
   el::Configurations configurations;
   configurations.setToDefault();
   configurations.setGlobally(el::ConfigurationType::ToFile, "false");
-  configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   configurations.setGlobally(el::ConfigurationType::Format,
                              "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
   if (least > Severity::kDebug) {
@@ -99,6 +118,9 @@
                        "false");
   }
   el::Loggers::reconfigureAllLoggers(configurations);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<SinkDispatch>("SinkDispatch");
 }
 
 }  // namespace sycamoreford
--- a/src/metrics/prometheus_text.cc
+++ b/src/metrics/prometheus_text.cc
@@ -15,10 +15,7 @@
   return text;
 }
 
-std::string Labels(const MetricsKey& key) {
-  return "customer=\"" + EscapeLabel(key.customer) + "\",priority=\"" +
-         EscapeLabel(key.priority) + "\"";
-}
+}  // namespace
 
 void AppendType(std::string& text,
                 std::string_view name,
@@ -54,6 +51,13 @@
   AppendSample(text, name + "_count", labels, all);
 }
 
+namespace {
+
+std::string Labels(const MetricsKey& key) {
+  return "customer=\"" + EscapeLabel(key.customer) + "\",priority=\"" +
+         EscapeLabel(key.priority) + "\"";
+}
+
 void AppendTimes(std::string& text,
                  const MetricsSnapshot& snapshot,
                  const std::string& name,
--- /dev/null
+++ b/src/relay/relay_metrics.cc
@@ -0,0 +1,71 @@
+#include "sycamoreford/relay/relay_metrics.h"
+
+#include "sycamoreford/metrics/prometheus_text.h"
+
+namespace sycamoreford {
+
+void RelayMetrics::OnEnded(const std::string& service,
+                           const std::string& customer,
+                           std::string_view outcome,
+                           Duration time,
+                           int sends) {
+  ServiceSeries& series = services_[service];
+  ++series.outcomes[std::string(outcome)];
+  series.sends += static_cast<std::uint64_t>(sends);
+  series.whole.Record(time);
+  const bool has_place =
+      customers_.contains(customer) || customers_.size() < kMostCustomers;
+  const std::string key = has_place ? customer : std::string(kOther);
+  ++customers_[key][std::string(outcome)];
+}
+
+void RelayMetrics::OnFirstEvent(const std::string& service, Duration time) {
+  services_[service].first_event.Record(time);
+}
+
+void RelayMetrics::OnLongestPause(const std::string& service, Duration time) {
+  services_[service].longest_pause.Record(time);
+}
+
+std::string RelayMetrics::ToPrometheus() const {
+  std::string text;
+  const auto label = [](std::string_view name, std::string_view value) {
+    return std::string(name) + "=\"" + EscapeLabel(value) + "\"";
+  };
+  AppendType(text, "sycamoreford_relay_requests_total", "counter");
+  for (const auto& [service, series] : services_) {
+    for (const auto& [outcome, count] : series.outcomes) {
+      AppendSample(text, "sycamoreford_relay_requests_total",
+                   label("service", service) + "," + label("outcome", outcome),
+                   std::to_string(count));
+    }
+  }
+  AppendType(text, "sycamoreford_relay_sends_total", "counter");
+  for (const auto& [service, series] : services_) {
+    AppendSample(text, "sycamoreford_relay_sends_total",
+                 label("service", service), std::to_string(series.sends));
+  }
+  const auto times = [&](const std::string& name,
+                         TimeHistogram ServiceSeries::*member) {
+    AppendType(text, name, "histogram");
+    for (const auto& [service, series] : services_) {
+      AppendHistogram(text, name, label("service", service), series.*member);
+    }
+  };
+  times("sycamoreford_relay_request_seconds", &ServiceSeries::whole);
+  times("sycamoreford_relay_first_event_seconds", &ServiceSeries::first_event);
+  times("sycamoreford_relay_longest_pause_seconds",
+        &ServiceSeries::longest_pause);
+  AppendType(text, "sycamoreford_relay_customer_requests_total", "counter");
+  for (const auto& [customer, outcomes] : customers_) {
+    for (const auto& [outcome, count] : outcomes) {
+      AppendSample(
+          text, "sycamoreford_relay_customer_requests_total",
+          label("customer", customer) + "," + label("outcome", outcome),
+          std::to_string(count));
+    }
+  }
+  return text;
+}
+
+}  // namespace sycamoreford
--- a/tests/relay_path_test.cc
+++ b/tests/relay_path_test.cc
@@ -413,6 +413,37 @@
   }
 }
 
+TEST_CASE("a planned stop begins while a stream runs on a kept connection") {
+  RelayStand stand;
+  stand.model_1.Then({Send(StreamHead("s1") + Chunk(Event(0))),
+                      Wait(milliseconds(300)),
+                      Send(Chunk(Event(1)) + kLastChunk), Hold()});
+  stand.Start();
+  support::RawConnection connection(stand.server.address());
+  std::string request =
+      RelayStand::Request("POST", "/stream/1", "Api-Key: key-1\r\n");
+  request.erase(request.find("Connection: close\r\n"), 19);
+  connection.Send(request);
+  connection.ReadUntil("id: 0");
+  stand.server.EndConnections();
+  stand.server.Close();
+
+  SECTION("the stream is finished, and no further request is taken") {
+    connection.ReadUntil(kLastChunk);
+    connection.Send(request);
+    const std::string all = connection.ReadAll();
+    REQUIRE(Unchunk(all) == Event(0) + Event(1));
+    REQUIRE(stand.model_1.requests().size() == 1);
+    REQUIRE(stand.model_2.requests().empty());
+  }
+  SECTION("a request that was sent early is not read either") {
+    connection.Send(request);
+    connection.ReadAll();
+    REQUIRE(stand.model_1.requests().size() == 1);
+    REQUIRE(stand.model_2.requests().empty());
+  }
+}
+
 TEST_CASE("a chain on which nothing moves any more") {
   RelayStand stand;
   stand.model_1.Then({Send(StreamHead("s1") + Chunk(Event(0))), Hold()});
