Thin out calls of the store that all daemons make

Change: four daemons look eagerly, the others every 6 s; counting and gathering of changes get rarer with the number of daemons.

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -80,7 +80,7 @@
       Apply(std::move(*listing), !position, connection);
       position = std::max(newest, state_position_);
       newest = *position;
-      co_await Pause(kGather);
+      co_await Pause(std::min(kGather * state_.thinning(), kMostGather));
     }
   }
 
@@ -113,6 +113,7 @@
   /// Changes of the list that come close together are taken in one call. Far
   /// below the bound within which a leaving endpoint must be left alone.
   static constexpr std::chrono::milliseconds kGather{150};
+  static constexpr std::chrono::milliseconds kMostGather{900};
   /// Pause after a call that did not reach the store.
   static constexpr std::chrono::milliseconds kCallAgain{150};
   /// Pause after a refused call, which is paid for, and its growth.
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -76,11 +76,16 @@
     TimePoint until{};
   };
 
+  /// Daemons that are ready to take the lease over at once; the others look now
+  /// and then, for the case that all of these are lost.
+  static constexpr std::size_t kCandidates = 4;
+  static constexpr std::chrono::milliseconds kEagerLook{1'500};
+  static constexpr std::chrono::milliseconds kPatientLook{6'000};
   /// A holder that dies is replaced within the sum of ttl and drift. Each
   /// renewal costs two calls of the store, each look of the others one.
   static constexpr LeaseTimes kTimes{.ttl = std::chrono::milliseconds(2'400),
                                      .renewal = std::chrono::milliseconds(800),
-                                     .look = std::chrono::milliseconds(1'500),
+                                     .look = kEagerLook,
                                      .drift = std::chrono::milliseconds(200)};
   static constexpr std::chrono::milliseconds kLeaseInterval{100};
   static constexpr std::chrono::milliseconds kInterval{100};
@@ -97,6 +102,7 @@
   boost::asio::awaitable<void> KeepLease() {
     for (std::uint64_t count = 0;; ++count) {
       const bool held = lease_.Token().has_value();
+      lease_.SetLook(state_.rank() < kCandidates ? kEagerLook : kPatientLook);
       co_await lease_.Step(run_ + "/" + std::to_string(count));
       const auto token = lease_.Token();
       if (token.has_value() != held) {
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -76,7 +76,18 @@
   /// Daemons that share limits, this one included; a high guess before they
   /// were counted.
   [[nodiscard]] std::uint32_t daemons() const noexcept { return daemons_; }
-  void SetDaemons(std::uint32_t daemons) noexcept { daemons_ = daemons; }
+  /// Place of this daemon among them, from 0; it decides who takes duties.
+  [[nodiscard]] std::size_t rank() const noexcept { return rank_; }
+  void SetDaemons(std::uint32_t daemons, std::size_t rank) noexcept {
+    daemons_ = daemons;
+    rank_ = rank;
+  }
+  /// How much rarer a daemon makes calls that all daemons make, so that their
+  /// sum does not grow with their number.
+  [[nodiscard]] std::uint32_t thinning() const noexcept {
+    constexpr std::uint32_t kManyDaemons = 20;
+    return 1 + daemons_ / kManyDaemons;
+  }
 
   /// Lists an attempt until `Remove`. The reference stays valid until then.
   std::list<ActiveAttempt>::iterator Add(ActiveAttempt attempt);
@@ -131,6 +142,7 @@
   std::map<std::string, FleetRetryBudget> retries_;
   std::list<ActiveAttempt> attempts_;
   std::uint32_t daemons_;
+  std::size_t rank_ = 0;
   std::function<void(std::string)> inspect_;
   std::function<void(const std::string&)> tell_;
 };
--- a/include/sycamoreford/adapters/roster_service.h
+++ b/include/sycamoreford/adapters/roster_service.h
@@ -43,7 +43,8 @@
         renew_at = clock_.Now() + DaemonRoster::kRenewal;
       }
       co_await Count();
-      co_await Pause(has_counted_ ? kInterval : kFirstInterval);
+      co_await Pause(has_counted_ ? kInterval * state_.thinning()
+                                  : kFirstInterval);
     }
   }
 
@@ -85,8 +86,8 @@
       LogEvent(Severity::kInfo, "daemons")
           .With("before", state_.daemons())
           .With("now", count);
-      state_.SetDaemons(count);
     }
+    state_.SetDaemons(count, roster_.RankOf(address_, clock_.Now()));
   }
 
   RelayState& state_;
--- a/include/sycamoreford/fleet/daemon_roster.h
+++ b/include/sycamoreford/fleet/daemon_roster.h
@@ -34,6 +34,11 @@
   /// Daemons that live, this one included; 0 before the first rows.
   [[nodiscard]] std::uint32_t Count(TimePoint now) const;
 
+  /// Place of a daemon among those that live, from 0; their number when it is
+  /// none of them.
+  [[nodiscard]] std::size_t RankOf(const std::string& address,
+                                   TimePoint now) const;
+
   /// Addresses of the daemons that live.
   [[nodiscard]] std::vector<std::string> Addresses(TimePoint now) const;
 
--- a/include/sycamoreford/lease/lease_client.h
+++ b/include/sycamoreford/lease/lease_client.h
@@ -47,6 +47,11 @@
     }
   }
 
+  /// Changes how often this daemon looks while it does not hold the lease.
+  void SetLook(std::chrono::milliseconds look) noexcept {
+    machine_.SetLook(look);
+  }
+
   /// The number to send with an order now; ask right before each send.
   [[nodiscard]] std::optional<FencingToken> Token() const {
     return machine_.TokenAt(clock_.Now());
--- a/include/sycamoreford/lease/lease_machine.h
+++ b/include/sycamoreford/lease/lease_machine.h
@@ -70,6 +70,9 @@
   [[nodiscard]] State state() const noexcept { return state_; }
   [[nodiscard]] const std::string& name() const noexcept { return name_; }
 
+  /// Changes how often those that don't hold the lease look at it.
+  void SetLook(std::chrono::milliseconds look) noexcept { times_.look = look; }
+
   /// What to do at `now`; `kWrite` follows an `OnRow` that allowed it.
   [[nodiscard]] Step NextStep(TimePoint now) const noexcept;
   /// When to ask again. Precondition: `NextStep` was `kWait`.
--- a/src/fleet/daemon_roster.cc
+++ b/src/fleet/daemon_roster.cc
@@ -22,6 +22,14 @@
   return static_cast<std::uint32_t>(Addresses(now).size());
 }
 
+std::size_t DaemonRoster::RankOf(const std::string& address,
+                                 TimePoint now) const {
+  const auto addresses = Addresses(now);
+  return static_cast<std::size_t>(
+      std::find(addresses.begin(), addresses.end(), address) -
+      addresses.begin());
+}
+
 std::vector<std::string> DaemonRoster::Addresses(TimePoint now) const {
   std::vector<std::string> addresses;
   for (const auto& [key, seen] : rows_) {
--- a/tests/relay_decisions_test.cc
+++ b/tests/relay_decisions_test.cc
@@ -401,6 +401,8 @@
   REQUIRE(roster.Count(kStart) == 0);
   roster.OnRows(rows, kStart);
   REQUIRE(roster.Count(kStart) == 2);
+  REQUIRE(roster.RankOf("2", kStart) == 1);
+  REQUIRE(roster.RankOf("other", kStart) == 2);
 
   SECTION("one no longer renews its row") {
     const TimePoint later = kStart + DaemonRoster::kLifetime + seconds(1);
--- a/tests/support/relay_stand.h
+++ b/tests/support/relay_stand.h
@@ -66,7 +66,7 @@
                      .AddService(model)
                      .AddCustomer(customer)
                      .Build());
-    state.SetDaemons(1);
+    state.SetDaemons(1, 0);
     StartWithoutConfiguration();
   }
 
