Move cards that streams still pass only when nothing else helps

Change: cards count as used for 4 s after the last chain over them; they are taken only when neighbours and spare cards cannot close the gap.

--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -94,6 +94,8 @@
   static constexpr std::chrono::milliseconds kSettle{1'200};
   /// Loads at once: with more, the weights' store slows each of them.
   static constexpr std::uint32_t kLoadsAtOnce = 5;
+  /// Longer than most streams take.
+  static constexpr std::chrono::milliseconds kUsedFor{4'000};
   /// How much longer than alone a load may take before it is planned anew:
   /// several at once slow each other.
   static constexpr int kLoadSlack = 4;
@@ -171,12 +173,7 @@
       card.layers = found->second.layers;
       card.is_loading = true;
     }
-    std::vector<std::string> in_use;
-    for (const ServingChain& chain : state_.Chains(service, now).chains()) {
-      for (const ChainStage& stage : chain.stages) {
-        in_use.push_back(stage.endpoint.value());
-      }
-    }
+    const std::vector<std::string> in_use = RecentlyUsed(service, now);
     for (const auto& [data_centre, group] : ByDataCentre(std::move(cards))) {
       for (const PlacementChange& change :
            PlanPlacement(*service.engine, group, in_use,
@@ -186,6 +183,26 @@
     }
   }
 
+  /// Cards that chains use or have used a moment ago. Requests still pass them,
+  /// also when a chain has just lost another card, and a card gives up layers
+  /// only when nothing passes it any more.
+  std::vector<std::string> RecentlyUsed(const RelayService& service,
+                                        TimePoint now) {
+    for (const ServingChain& chain : state_.Chains(service, now).chains()) {
+      for (const ChainStage& stage : chain.stages) {
+        used_at_[stage.endpoint.value()] = now;
+      }
+    }
+    std::erase_if(used_at_, [&](const auto& it) {
+      return now - it.second > kUsedFor;
+    });
+    std::vector<std::string> ids;
+    for (const auto& [id, at] : used_at_) {
+      ids.push_back(id);
+    }
+    return ids;
+  }
+
   /// Orders whose loads run.
   [[nodiscard]] std::uint32_t Loading() const {
     return static_cast<std::uint32_t>(pending_.size());
@@ -280,6 +297,8 @@
   /// Endpoints that did not answer when they were asked.
   std::set<std::string> lost_;
   std::map<std::string, TimePoint> next_check_;
+  /// When chains used a card last.
+  std::map<std::string, TimePoint> used_at_;
   std::size_t seen_cards_ = 0;
   TimePoint seen_since_{};
 };
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -354,8 +354,11 @@
       cards.begin(), cards.end(), [](const Card& it) { return it.is_loading; });
   const auto holders = CountHolders(profile, cards);
   if (*std::min_element(holders.begin(), holders.end()) == 0) {
+    const LayerRange gap = ThinnestRun(holders);
+    // Cards in use are taken when nothing else helps.
     const bool is_filled =
-        FillGap(profile, cards, used, ThinnestRun(holders), room, changes);
+        FillGap(profile, cards, used, gap, room, changes) ||
+        FillGap(profile, cards, {}, gap, room, changes);
     if (!is_filled && is_calm) {
       return PlanAnew(profile, cards, room);
     }
