Use endpoints that were found alive again

Found by logging which layers are missing. Change: being found alive only shortens a suspicion (test failing before).

--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -193,9 +193,8 @@
         used_at_[stage.endpoint.value()] = now;
       }
     }
-    std::erase_if(used_at_, [&](const auto& it) {
-      return now - it.second > kUsedFor;
-    });
+    std::erase_if(used_at_,
+                  [&](const auto& it) { return now - it.second > kUsedFor; });
     std::vector<std::string> ids;
     for (const auto& [id, at] : used_at_) {
       ids.push_back(id);
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -125,6 +125,9 @@
  private:
   struct ServiceChains {
     ChainSelector selector;
+    /// Data centres without a chain and the layers that are missing there, as
+    /// last logged.
+    std::string lacking;
     std::uint64_t directory_version = 0;
     std::uint64_t revision = 0;
     /// When a suspicion ends, which brings an endpoint back.
--- a/include/sycamoreford/placement/chain_builder.h
+++ b/include/sycamoreford/placement/chain_builder.h
@@ -21,6 +21,11 @@
   [[nodiscard]] bool Uses(const std::string& endpoint) const noexcept;
 };
 
+/// Layers that no card holds and has loaded, as ranges in order.
+[[nodiscard]] std::vector<LayerRange> MissingLayers(
+    const EngineProfile& profile,
+    const std::vector<Card>& cards);
+
 /// Builds the chains of one data centre from what its cards hold: the fastest
 /// with enough room first, then further ones from the cards that are left. A
 /// card is in one chain at most, and a chain may use part of its layers.
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -22,6 +22,15 @@
   return text;
 }
 
+std::string Describe(const std::vector<LayerRange>& ranges) {
+  std::string text;
+  for (const LayerRange& range : ranges) {
+    text += (text.empty() ? "" : ",") + std::to_string(range.first) + "-" +
+            std::to_string(range.end);
+  }
+  return text;
+}
+
 }  // namespace
 
 std::vector<Card> CardsOf(const EndpointDirectory& directory,
@@ -94,11 +103,22 @@
     }
   }
   std::vector<ServingChain> chains;
+  std::string lacking;
   for (const auto& [data_centre, cards] :
        ByDataCentre(CardsOf(directory_, service, now, true))) {
-    for (ServingChain& chain : BuildChains(*service.engine, cards)) {
-      chains.push_back(std::move(chain));
+    auto built = BuildChains(*service.engine, cards);
+    if (built.empty()) {
+      lacking += (lacking.empty() ? "" : " ") + data_centre + ":" +
+                 Describe(MissingLayers(*service.engine, cards));
     }
+    std::move(built.begin(), built.end(), std::back_inserter(chains));
+  }
+  if (lacking != known.lacking) {
+    known.lacking = lacking;
+    LogEvent(Severity::kWarning, "data_centres_without_chain")
+        .With("service", service.name)
+        .With("missing_layers", lacking)
+        .With("directory_version", directory_.version());
   }
   const auto is_same = [](const ServingChain& a, const ServingChain& b) {
     return Describe(a.stages) == Describe(b.stages);
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -107,9 +107,13 @@
   if (found == endpoints_.end() || found->second.suspected_until <= now) {
     return;
   }
-  found->second.suspicions = 0;
-  found->second.suspected_until = now + kSpared;
-  ++version_;
+  KnownEndpoint& known = found->second;
+  known.suspicions = 0;
+  // It may be asked again in the meantime, which must not go on for ever.
+  if (now + kSpared < known.suspected_until) {
+    known.suspected_until = now + kSpared;
+    ++version_;
+  }
 }
 
 void EndpointDirectory::OnSlowness(std::string_view id, double slowness) {
--- a/src/placement/chain_builder.cc
+++ b/src/placement/chain_builder.cc
@@ -159,6 +159,27 @@
                      });
 }
 
+std::vector<LayerRange> MissingLayers(const EngineProfile& profile,
+                                      const std::vector<Card>& cards) {
+  std::vector<LayerRange> missing;
+  for (std::uint32_t layer = 0; layer < profile.layers; ++layer) {
+    const bool is_held =
+        std::any_of(cards.begin(), cards.end(), [&](const Card& card) {
+          return !card.is_loading && card.layers.first <= layer &&
+                 layer < card.layers.end;
+        });
+    if (is_held) {
+      continue;
+    }
+    if (!missing.empty() && missing.back().end == layer) {
+      ++missing.back().end;
+    } else {
+      missing.push_back({layer, layer + 1});
+    }
+  }
+  return missing;
+}
+
 std::vector<ServingChain> BuildChains(const EngineProfile& profile,
                                       const std::vector<Card>& given) {
   std::vector<ServingChain> chains;
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -356,9 +356,8 @@
   if (*std::min_element(holders.begin(), holders.end()) == 0) {
     const LayerRange gap = ThinnestRun(holders);
     // Cards in use are taken when nothing else helps.
-    const bool is_filled =
-        FillGap(profile, cards, used, gap, room, changes) ||
-        FillGap(profile, cards, {}, gap, room, changes);
+    const bool is_filled = FillGap(profile, cards, used, gap, room, changes) ||
+                           FillGap(profile, cards, {}, gap, room, changes);
     if (!is_filled && is_calm) {
       return PlanAnew(profile, cards, room);
     }
--- a/tests/relay_decisions_test.cc
+++ b/tests/relay_decisions_test.cc
@@ -391,6 +391,12 @@
       directory.OnAlive("1", kStart);
       REQUIRE(directory.Find("1")->IsUsable(kStart + milliseconds(200)));
     }
+    SECTION("it is asked again and again, and used all the same") {
+      for (int ms = 0; ms < 150; ms += 40) {
+        directory.OnAlive("1", kStart + milliseconds(ms));
+      }
+      REQUIRE(directory.Find("1")->IsUsable(kStart + milliseconds(150)));
+    }
   }
 }
 
