--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -94,8 +94,8 @@
   static constexpr std::chrono::milliseconds kSettle{1'200};
   /// Loads at once: with more, the weights' store slows each of them.
   static constexpr std::uint32_t kLoadsAtOnce = 5;
-  /// Longer than most streams take.
-  static constexpr std::chrono::milliseconds kUsedFor{4'000};
+  /// Streams of a broken chain are moved within about this time.
+  static constexpr std::chrono::milliseconds kUsedFor{1'000};
   /// How much longer than alone a load may take before it is planned anew:
   /// several at once slow each other.
   static constexpr int kLoadSlack = 4;
@@ -174,10 +174,18 @@
       card.is_loading = true;
     }
     const std::vector<std::string> in_use = RecentlyUsed(service, now);
-    for (const auto& [data_centre, group] : ByDataCentre(std::move(cards))) {
+    const auto groups = ByDataCentre(std::move(cards));
+    // Cards that stand by wait while layers are missing anywhere: loads that
+    // run at the same time slow each other.
+    const bool is_whole =
+        std::all_of(groups.begin(), groups.end(), [&](const auto& group) {
+          return MissingLayers(*service.engine, group.second).empty();
+        });
+    for (const auto& [data_centre, group] : groups) {
+      const std::uint32_t loads =
+          is_whole ? kLoadsAtOnce - std::min(kLoadsAtOnce, Loading()) : 0;
       for (const PlacementChange& change :
-           PlanPlacement(*service.engine, group, in_use,
-                         kLoadsAtOnce - std::min(kLoadsAtOnce, Loading()))) {
+           PlanPlacement(*service.engine, group, in_use, loads)) {
         Begin(service, change, now, executor);
       }
     }
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -22,6 +22,11 @@
 constexpr std::array kRepairShares = {0.4, 0.2, 0.1};
 /// Cards that share a gap; with more, chains get long and loads slow down.
 constexpr std::size_t kMostHelpers = 3;
+/// Layers of a gap that are worth one more card: a chain's stage costs about as
+/// much as loading them in one part takes longer.
+constexpr std::uint32_t kLayersPerHelper = 4;
+/// A card in use with less than this share of the planned room gets help.
+constexpr double kCrampedShare = 0.5;
 /// A card that holds less than this share of what it could is filled up when
 /// nothing else is to be done.
 constexpr double kFilled = 0.7;
@@ -135,7 +140,8 @@
                                 const std::set<std::string>& in_use,
                                 LayerRange gap,
                                 double room,
-                                double repair_share) {
+                                double repair_share,
+                                std::size_t most_helpers) {
   std::vector<Helper> below;
   std::vector<Helper> spare;
   std::vector<Helper> above;
@@ -161,7 +167,8 @@
     }
   }
   std::vector<Helper> helpers;
-  std::size_t room_left = kMostHelpers - std::min(kMostHelpers, spare.size());
+  spare.resize(std::min(spare.size(), most_helpers));
+  std::size_t room_left = most_helpers - spare.size();
   if (!below.empty() && room_left > 0) {
     helpers.push_back(below.front());
     --room_left;
@@ -209,16 +216,22 @@
              LayerRange gap,
              double room,
              std::vector<PlacementChange>& changes) {
+  const std::size_t few =
+      std::clamp<std::size_t>(gap.size() / kLayersPerHelper, 1, kMostHelpers);
   for (const double share : kRepairShares) {
-    auto helpers = FindHelpers(profile, cards, in_use, gap, room, share);
-    std::uint32_t most = 0;
-    for (const Helper& helper : helpers) {
-      most += helper.most;
-    }
-    if (most >= gap.size()) {
-      Divide(gap.size(), helpers);
-      TakeShares(helpers, gap, changes);
-      return true;
+    for (std::size_t helpers_at_most = few; helpers_at_most <= kMostHelpers;
+         ++helpers_at_most) {
+      auto helpers = FindHelpers(profile, cards, in_use, gap, room, share,
+                                 helpers_at_most);
+      std::uint32_t most = 0;
+      for (const Helper& helper : helpers) {
+        most += helper.most;
+      }
+      if (most >= gap.size()) {
+        Divide(gap.size(), helpers);
+        TakeShares(helpers, gap, changes);
+        return true;
+      }
     }
   }
   return false;
@@ -276,6 +289,34 @@
   }
 }
 
+/// Gives half of the layers of a card that a repair has left without much room
+/// to a card that no chain uses as well; chains then use both in part.
+///
+/// \returns whether there was such a card and one to help it.
+bool Relieve(const EngineProfile& profile,
+             std::vector<Card>& cards,
+             const std::set<std::string>& in_use,
+             double room,
+             std::vector<PlacementChange>& changes) {
+  const auto spare = FindSpare(profile, cards, in_use);
+  for (const Card& card : cards) {
+    const LayerRange layers = card.layers;
+    if (!in_use.contains(card.id) || layers.size() < 2 ||
+        card.RoomFor(profile, layers.size(), layers.size()) >
+            kCrampedShare * room) {
+      continue;
+    }
+    const std::uint32_t half = layers.size() / 2;
+    for (Card* helper : spare) {
+      if (helper->id != card.id && MostLayers(profile, *helper, room) >= half) {
+        changes.push_back({helper->id, {layers.end - half, layers.end}});
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 /// Widens one card that repairs have left with few layers.
 void Widen(const EngineProfile& profile,
            std::vector<Card>& cards,
@@ -364,7 +405,7 @@
     return changes;
   }
   FillEmpty(profile, cards, room, loads, changes);
-  if (is_calm && loads > 0) {
+  if (is_calm && loads > 0 && !Relieve(profile, cards, used, room, changes)) {
     Widen(profile, cards, used, room, changes);
   }
   return changes;
--- a/src/relay/chain_selector.cc
+++ b/src/relay/chain_selector.cc
@@ -15,9 +15,10 @@
 /// The same for a chain that has failed or refused the request: it is taken
 /// when there is no other.
 constexpr double kTriedPenalty = 10;
-/// Requests are refused above this share of the room. They take their full
-/// memory only at their end, so that a full chain still carries this much.
-constexpr double kMostUsed = 1.1;
+/// Requests are refused above this share of the room. The rest is for answers
+/// that get longer than usual: a request that finds no memory in the middle of
+/// its answer is read again, which costs the others as well.
+constexpr double kMostUsed = 0.9;
 /// A stated load is of use for this long; about a tenth of a stream's time.
 constexpr std::chrono::milliseconds kStatedFor{500};
 /// Weight of the newest request in the mean of tokens.
--- a/tests/placement_planner_test.cc
+++ b/tests/placement_planner_test.cc
@@ -149,6 +149,23 @@
     }
   }
 
+  SECTION("a repair has left a card without much room") {
+    // The small card at the end holds ten layers; its twin holds what others
+    // hold as well.
+    std::vector<Card> cards = {SampleCard("a1", "large", {0, 30}),
+                               SampleCard("a2", "large", {20, 50}),
+                               SampleCard("a3", "large", {44, 70}),
+                               SampleCard("c1", "small", {70, 80}),
+                               SampleCard("c2", "small", {20, 26})};
+    const double before =
+        BuildChains(SampleEngine(), cards).front().room_tokens;
+    REQUIRE(Settle(cards) >= 0);
+    const auto chains = BuildChains(SampleEngine(), cards);
+    REQUIRE(chains.front().Uses("c2"));
+    REQUIRE(chains.front().room_tokens > 1.5 * before);
+    REQUIRE(FitsMemory(cards));
+  }
+
   SECTION("too little memory for the model") {
     std::vector<Card> cards = {SampleCard("a1", "large"),
                                SampleCard("c1", "small")};
