--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -51,6 +51,9 @@
   /// daemon's own.
   void Send(const std::vector<std::string>& peers, const PeerMessage& message);
 
+  /// The bound IP address and port.
+  [[nodiscard]] std::string address() const;
+
   /// Receives; does not return.
   boost::asio::awaitable<void> Run();
 
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -85,6 +85,11 @@
   }
 }
 
+std::string PeerDatagrams::address() const {
+  const udp::endpoint endpoint = socket_.local_endpoint();
+  return impl::ToAddress({endpoint.address(), endpoint.port()});
+}
+
 asio::awaitable<void> PeerDatagrams::Run() {
   std::array<char, kMostBytes> bytes{};
   for (;;) {
