Take the configuration and the endpoints from a peer while the store is away

Cause: a daemon that started during an outage of the store answered 503 until its end. What the store says goes first. Daemons whose seeds all restart at the same moment wait for one of them.

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -84,7 +84,17 @@
     }
   }
 
-  /// Whether the list of endpoints has been read at least once.
+  /// Takes over the endpoints that a peer knows, unless the store's list was
+  /// read already.
+  void TakeFromPeer(std::vector<EndpointRecord> records) {
+    if (!has_endpoints_) {
+      state_.directory().Replace(std::move(records), clock_.Now(),
+                                 Duration::zero());
+      has_endpoints_ = true;
+    }
+  }
+
+  /// Whether the list of endpoints is known, by the store or by a peer.
   [[nodiscard]] bool has_endpoints() const noexcept { return has_endpoints_; }
 
   /// Drops endpoints whose entries did not come back, and has the endpoints
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -11,6 +11,7 @@
 
 #include <xxhash.h>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include "sycamoreford/adapters/http_client.h"
@@ -119,8 +120,6 @@
     kNotSent,
     /// It may have run; the answer is lost or useless.
     kLost,
-    /// The caller went away.
-    kGone,
   };
 
   /// Reads the request and finds its route, customer and service.
@@ -229,10 +228,13 @@
            state_.Retries(passage.service->name).TryTake(now, state_.daemons());
   }
 
-  static boost::asio::awaitable<bool> IsCancelled() {
-    const auto cancellation =
-        co_await boost::asio::this_coro::cancellation_state;
-    co_return cancellation.cancelled() != boost::asio::cancellation_type::none;
+  /// Ends the handler by an exception when the caller has gone: an exchange
+  /// that was cancelled looks like a failure of the endpoint.
+  static boost::asio::awaitable<void> ThrowIfGone() {
+    const auto state = co_await boost::asio::this_coro::cancellation_state;
+    if (state.cancelled() != boost::asio::cancellation_type::none) {
+      throw boost::system::system_error(boost::asio::error::operation_aborted);
+    }
   }
 
   // Plain services.
@@ -255,7 +257,6 @@
           co_await SendToEndpoint(exchange, passage, record, failed_answer);
       switch (sent) {
         case Sent::kDone:
-        case Sent::kGone:
           co_return;
         case Sent::kNotSent:
           ++passage.connect_failures;
@@ -324,9 +325,7 @@
     const HttpRequest encoded = Dialect::Encode(exchange.request(), order);
     const auto failure = co_await call.Start(record.address, encoded,
                                              relay::kConnectTimeout, patience);
-    if (co_await IsCancelled()) {
-      co_return Sent::kGone;
-    }
+    co_await ThrowIfGone();
     passage.sends += call.was_sent() ? 1 : 0;
     if (failure) {
       const TimePoint now = clock_.Now();
@@ -354,9 +353,7 @@
         Dialect::Judge(passage.request.id, call.status(), call.fields());
     auto body = co_await call.ReadAll(relay::kAnswerLimit,
                                       passage.TimeLeft(clock_.Now()));
-    if (co_await IsCancelled()) {
-      co_return Sent::kGone;
-    }
+    co_await ThrowIfGone();
     const TimePoint now = clock_.Now();
     constexpr unsigned kFirstServerError = 500;
     const bool is_good =
@@ -423,7 +420,6 @@
           co_await SendAlong(exchange, passage, stages, tokens, progress);
       switch (sent) {
         case Sent::kDone:
-        case Sent::kGone:
           co_return;
         case Sent::kNotSent:
           ++passage.connect_failures;
@@ -535,9 +531,7 @@
     const auto failure =
         co_await call.Start(stages.front().address, encoded,
                             relay::kConnectTimeout, order.time_left);
-    if (co_await IsCancelled()) {
-      co_return Sent::kGone;
-    }
+    co_await ThrowIfGone();
     passage.sends += call.was_sent() ? 1 : 0;
     if (failure) {
       if (use.is_aborted()) {
@@ -583,9 +577,7 @@
                                          const StreamProgress& progress) {
     auto body = co_await call.ReadAll(relay::kAnswerLimit,
                                       passage.TimeLeft(clock_.Now()));
-    if (co_await IsCancelled()) {
-      co_return Sent::kGone;
-    }
+    co_await ThrowIfGone();
     constexpr unsigned kFirstServerError = 500;
     const bool is_failure = head.status >= kFirstServerError;
     if (!body.has_value() || !head.IsTrusted() || progress.has_begun ||
@@ -613,9 +605,7 @@
     for (;;) {
       auto bytes = co_await call.ReadSome(passage.TimeLeft(clock_.Now()));
       if (!bytes) {
-        if (co_await IsCancelled()) {
-          co_return Sent::kGone;
-        }
+        co_await ThrowIfGone();
         if (!use.is_aborted()) {
           LogLost(passage, first, bytes.error());
         }
--- a/include/sycamoreford/relay/manifest.h
+++ b/include/sycamoreford/relay/manifest.h
@@ -85,6 +85,8 @@
   class Builder;
 
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+  /// The text that it was decoded from; empty when it was built otherwise.
+  [[nodiscard]] const std::string& source() const noexcept { return source_; }
   [[nodiscard]] const CallerLimits& limits() const noexcept { return limits_; }
   [[nodiscard]] const std::vector<RelayService>& services() const noexcept {
     return services_;
@@ -115,6 +117,7 @@
   Manifest() = default;
 
   std::uint64_t revision_ = 0;
+  std::string source_;
   CallerLimits limits_;
   std::vector<RelayService> services_;
   std::size_t routes_ = 0;
@@ -134,6 +137,7 @@
  public:
   explicit Builder(std::uint64_t revision);
   /// Precondition for each `Add` and `Set`: `Build` was not called yet.
+  Builder& SetSource(std::string text);
   Builder& SetLimits(CallerLimits limits);
   Builder& AddRoute(RelayRoute route);
   Builder& AddService(RelayService service);
--- a/src/relay/manifest.cc
+++ b/src/relay/manifest.cc
@@ -39,6 +39,11 @@
   manifest_->revision_ = revision;
 }
 
+Manifest::Builder& Manifest::Builder::SetSource(std::string text) {
+  manifest_->source_ = std::move(text);
+  return *this;
+}
+
 Manifest::Builder& Manifest::Builder::SetLimits(CallerLimits limits) {
   manifest_->limits_ = limits;
   return *this;
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -14,6 +14,7 @@
 #include "sycamoreford/adapters/fleet_follower.h"
 #include "sycamoreford/adapters/peer_datagrams.h"
 #include "sycamoreford/adapters/placement_service.h"
+#include "sycamoreford/fleet/peer_state.h"
 
 namespace sycamoreford {
 namespace {
@@ -274,6 +275,34 @@
   }
 }
 
+TEST_CASE("what a daemon hands to one that starts while the store is away") {
+  PeerState state;
+  state.manifest_source = R"({"Version":7})";
+  state.endpoints = {Endpoint("1"), Endpoint("2", "large")};
+  state.endpoints[1].layers = {20, 50};
+  state.endpoints[1].is_leaving = true;
+
+  SECTION("reads back") {
+    const auto read = PeerState::Parse(state.ToText());
+    REQUIRE(read->manifest_source == state.manifest_source);
+    REQUIRE(read->endpoints == state.endpoints);
+  }
+  SECTION("wrong bytes are refused") {
+    const std::string text =
+        GENERATE("", "[]", "{}", R"({"manifest":1,"endpoints":[]})",
+                 R"({"manifest":"x","endpoints":[{}]})");
+    REQUIRE_FALSE(PeerState::Parse(text).has_value());
+  }
+  SECTION("is taken only as long as the store's list was not read") {
+    Followed it;
+    it.follower.TakeFromPeer(state.endpoints);
+    REQUIRE(it.follower.has_endpoints());
+    REQUIRE(it.state.directory().endpoints().size() == 2);
+    it.follower.TakeFromPeer({});
+    REQUIRE(it.state.directory().endpoints().size() == 2);
+  }
+}
+
 TEST_CASE("what daemons tell each other") {
   SECTION("messages read back") {
     PeerMessage trouble;
