--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -81,14 +81,17 @@
     state_.directory().OnLayers(id, report->layers);
     state_.directory().OnSlowness(id, report->slowness);
     state_.directory().OnAlive(id, clock_.Now());
+    std::set<std::string> blamed;
     for (const StalledRequest& stalled : report->stalled) {
-      const KnownEndpoint* blamed =
+      const KnownEndpoint* stage =
           state_.directory().FindByAddress(stalled.address);
-      if (blamed != nullptr) {
-        const std::string blamed_id = blamed->record.id;
-        state_.OnEndpointLost(blamed_id, "stalls_chain", clock_.Now());
+      if (stage != nullptr) {
+        blamed.insert(stage->record.id);
       }
     }
+    for (const std::string& stage : blamed) {
+      state_.OnEndpointLost(stage, "stalls_chain", clock_.Now());
+    }
   }
 
   /// Endpoints that are being asked.
