--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -86,10 +86,9 @@
 
   /// Takes over the endpoints that a peer knows, unless the store's list was
   /// read already.
-  void TakeFromPeer(std::vector<EndpointRecord> records) {
+  void TakeFromPeer(const std::vector<EndpointRecord>& records) {
     if (!has_endpoints_) {
-      state_.directory().Replace(std::move(records), clock_.Now(),
-                                 Duration::zero());
+      state_.directory().Replace(records, clock_.Now(), Duration::zero());
       has_endpoints_ = true;
     }
   }
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -100,6 +100,10 @@
   /// several at once slow each other.
   static constexpr int kLoadSlack = 4;
   static constexpr std::chrono::milliseconds kOrderSlack{3'000};
+  /// Pause after an order that was refused.
+  static constexpr std::chrono::milliseconds kRetry{500};
+  /// Time from one question to a suspected endpoint to the next.
+  static constexpr std::chrono::milliseconds kCheckAgain{400};
 
   boost::asio::awaitable<void> KeepLease() {
     for (std::uint64_t count = 0;; ++count) {
@@ -147,7 +151,6 @@
       }
     }
   }
-  static constexpr std::chrono::milliseconds kCheckAgain{400};
 
   template <class Executor>
   void Place(const RelayService& service, const Executor& executor) {
@@ -276,8 +279,6 @@
       pending_[change.card].until = clock_.Now() + kRetry;
     }
   }
-  /// Pause after an order that was refused.
-  static constexpr std::chrono::milliseconds kRetry{500};
 
   static std::string_view Name(OrderOutcome outcome) noexcept {
     switch (outcome) {
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -369,7 +369,7 @@
                                : body.error());
       co_return Sent::kLost;
     }
-    state_.directory().OnSuccess(endpoint, now);
+    state_.directory().OnSuccess(endpoint);
     HttpResponse response = Dialect::Pass(call.status(), call.fields());
     response.body = std::move(*body);
     if (!is_good && passage.MayRepeat()) {
@@ -634,7 +634,7 @@
                       .where = "ends within an event"});
       co_return Sent::kLost;
     }
-    state_.directory().OnSuccess(first, clock_.Now());
+    state_.directory().OnSuccess(first);
     co_await exchange.EndStream();
     Ended(passage, "answered");
     state_.metrics().OnLongestPause(passage.service->name,
--- a/include/sycamoreford/fleet/endpoint_directory.h
+++ b/include/sycamoreford/fleet/endpoint_directory.h
@@ -23,7 +23,6 @@
   /// The announcement is gone, and the endpoint is dropped at this time unless
   /// it is announced again.
   std::optional<TimePoint> dropped_at;
-  TimePoint last_success{};
   /// Times as long as its kind usually takes, as it last stated.
   double slowness = 1;
 
@@ -75,7 +74,7 @@
   void OnSlowness(std::string_view id, double slowness);
 
   /// A request was answered by the endpoint.
-  void OnSuccess(std::string_view id, TimePoint now);
+  void OnSuccess(std::string_view id);
 
   /// The endpoint said that it is leaving.
   void OnLeaving(std::string_view id);
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -22,8 +22,6 @@
   /// How long the caller will wait; nothing when it didn't say.
   std::optional<std::chrono::milliseconds> patience;
   std::uint32_t prompt_tokens = 0;
-  /// Expected tokens of the answer; 0 when it isn't known.
-  std::uint32_t answer_tokens = 0;
   /// The last event that the caller has of this stream; empty for a new one.
   std::string last_event_id;
 };
@@ -52,8 +50,6 @@
   bool is_sealed = false;
   /// Belongs to the request that was sent.
   bool is_own = false;
-  /// The endpoint announces that it closes its connections.
-  bool closes = false;
   /// Address of the stage at fault; empty when it isn't named.
   std::string blamed_address;
   std::optional<StatedLoad> load;
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -129,11 +129,10 @@
   }
 }
 
-void EndpointDirectory::OnSuccess(std::string_view id, TimePoint now) {
+void EndpointDirectory::OnSuccess(std::string_view id) {
   const auto found = endpoints_.find(id);
   if (found != endpoints_.end()) {
     found->second.suspicions = 0;
-    found->second.last_success = now;
   }
 }
 
--- a/src/relay/fleet_retry_budget.cc
+++ b/src/relay/fleet_retry_budget.cc
@@ -16,7 +16,8 @@
 }  // namespace
 
 FleetRetryBudget::Slice& FleetRetryBudget::At(TimePoint now) {
-  const auto length = Duration(allowance_.window) / kWindowSlices;
+  const Duration length =
+      Duration(allowance_.window) / static_cast<std::int64_t>(kWindowSlices);
   const std::int64_t number = now.time_since_epoch() / length;
   Slice& slice = slices_[static_cast<std::size_t>(number) % kSlices];
   if (slice.number != number) {
