Serve kept connections until the listener closes

A connection whose response was just sent when the stop was announced was ended at once, since the check looked at the announcement.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -468,8 +468,9 @@
         break;
       }
       open = co_await ServeOne(state, *connection);
-      if (open && state->ending_connections) {
-        // The header promised to keep the connection before the stop began.
+      if (open && state->closing) {
+        // The header promised to keep the connection before the stop began; a
+        // request that was taken now might not be finished within the bound.
         co_await Part(connection->stream);
         open = false;
       }
--- a/tests/relay_path_test.cc
+++ b/tests/relay_path_test.cc
@@ -426,6 +426,14 @@
   connection.Send(request);
   connection.ReadUntil("id: 0");
   stand.server.EndConnections();
+
+  SECTION("until the listener closes a further request is still served") {
+    connection.ReadUntil(kLastChunk);
+    connection.Send(request);
+    REQUIRE(Contains(connection.ReadAll(), "Connection: close"));
+    REQUIRE(stand.model_1.requests().size() == 2);
+    return;
+  }
   stand.server.Close();
 
   SECTION("the stream is finished, and no further request is taken") {
