Model the endpoints in virtual time and compare placements on it

Change: model/ plays passes, reading in pieces, memory, preemption, slots, loads, crashes, stalls and slow cards in virtual time. The router's own decisions run against it: placement rounds, chain building, choice of a chain, refusal, resumption, retry budget. To share them, the planning of a round moved out of the coroutines of PlacementService into PlacementRounds, and the limits of sends out of RelayHandler into relay/send_limits.h; behaviour is unchanged. The tool sycamore-model prints a table for scenario files and for installations drawn at random, against one chain over all cards and pairs of cards, with an upper bound.

--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -17,7 +17,7 @@
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/fleet/endpoint_control.h"
 #include "sycamoreford/lease/lease_client.h"
-#include "sycamoreford/placement/placement_planner.h"
+#include "sycamoreford/placement/placement_rounds.h"
 
 namespace sycamoreford {
 
@@ -52,7 +52,7 @@
     for (;;) {
       co_await Pause(kInterval);
       if (!lease_.Token() || !state_.manifest()) {
-        pending_.clear();
+        rounds_.Forget();
         lost_.clear();
         continue;
       }
@@ -69,13 +69,6 @@
   boost::asio::awaitable<void> Release() { co_await lease_.Release(); }
 
  private:
-  /// An order whose effect the list does not show yet.
-  struct Pending {
-    LayerRange layers;
-    /// Forgotten then, and planned anew.
-    TimePoint until{};
-  };
-
   /// Daemons that are ready to take the lease over at once; the others look now
   /// and then, for the case that all of these are lost.
   static constexpr std::size_t kCandidates = 4;
@@ -89,19 +82,6 @@
                                      .drift = std::chrono::milliseconds(200)};
   static constexpr std::chrono::milliseconds kLeaseInterval{100};
   static constexpr std::chrono::milliseconds kInterval{100};
-  /// At a first start all endpoints announce themselves within a few seconds;
-  /// placing begins when none has come for this long.
-  static constexpr std::chrono::milliseconds kSettle{1'200};
-  /// Loads at once: with more, the weights' store slows each of them.
-  static constexpr std::uint32_t kLoadsAtOnce = 5;
-  /// Streams of a broken chain are moved within about this time.
-  static constexpr std::chrono::milliseconds kUsedFor{1'000};
-  /// How much longer than alone a load may take before it is planned anew:
-  /// several at once slow each other.
-  static constexpr int kLoadSlack = 4;
-  static constexpr std::chrono::milliseconds kOrderSlack{3'000};
-  /// Pause after an order that was refused.
-  static constexpr std::chrono::milliseconds kRetry{500};
   /// Time from one question to a suspected endpoint to the next.
   static constexpr std::chrono::milliseconds kCheckAgain{400};
 
@@ -161,87 +141,17 @@
       return known->record.is_leaving || known->dropped_at.has_value() ||
              lost_.contains(card.id);
     });
-    if (!HasSettled(cards, now)) {
-      return;
-    }
-    for (Card& card : cards) {
-      const auto found = pending_.find(card.id);
-      if (found == pending_.end()) {
-        continue;
-      }
-      if (card.layers == found->second.layers || now >= found->second.until) {
-        pending_.erase(found);
-        continue;
-      }
-      card.layers = found->second.layers;
-      card.is_loading = true;
-    }
-    const std::vector<std::string> in_use = RecentlyUsed(service, now);
-    const auto groups = ByDataCentre(std::move(cards));
-    // Cards that stand by wait while layers are missing anywhere: loads that
-    // run at the same time slow each other.
-    const bool is_whole =
-        std::all_of(groups.begin(), groups.end(), [&](const auto& group) {
-          return MissingLayers(*service.engine, group.second).empty();
-        });
-    for (const auto& [data_centre, group] : groups) {
-      const std::uint32_t loads =
-          is_whole ? kLoadsAtOnce - std::min(kLoadsAtOnce, Loading()) : 0;
-      for (const PlacementChange& change :
-           PlanPlacement(*service.engine, group, in_use, loads)) {
-        Begin(service, change, now, executor);
-      }
-    }
-  }
-
-  /// Cards that chains use or have used a moment ago. Requests still pass them,
-  /// also when a chain has just lost another card, and a card gives up layers
-  /// only when nothing passes it any more.
-  std::vector<std::string> RecentlyUsed(const RelayService& service,
-                                        TimePoint now) {
+    std::vector<std::string> in_use;
     for (const ServingChain& chain : state_.Chains(service, now).chains()) {
       for (const ChainStage& stage : chain.stages) {
-        used_at_[stage.endpoint.value()] = now;
+        in_use.push_back(stage.endpoint.value());
       }
     }
-    std::erase_if(used_at_,
-                  [&](const auto& it) { return now - it.second > kUsedFor; });
-    std::vector<std::string> ids;
-    for (const auto& [id, at] : used_at_) {
-      ids.push_back(id);
+    for (PlacementChange& change :
+         rounds_.Next(*service.engine, std::move(cards), in_use, now)) {
+      boost::asio::co_spawn(executor, Order(std::move(change)),
+                            boost::asio::detached);
     }
-    return ids;
-  }
-
-  /// Orders whose loads run.
-  [[nodiscard]] std::uint32_t Loading() const {
-    return static_cast<std::uint32_t>(pending_.size());
-  }
-
-  /// Whether the list is complete enough for a first placement.
-  bool HasSettled(const std::vector<Card>& cards, TimePoint now) {
-    if (cards.size() != seen_cards_) {
-      seen_cards_ = cards.size();
-      seen_since_ = now;
-    }
-    const bool is_fresh =
-        std::all_of(cards.begin(), cards.end(), [&](const Card& card) {
-          return card.layers.is_empty() && !pending_.contains(card.id);
-        });
-    return !is_fresh || (!cards.empty() && now - seen_since_ >= kSettle);
-  }
-
-  template <class Executor>
-  void Begin(const RelayService& service,
-             const PlacementChange& change,
-             TimePoint now,
-             const Executor& executor) {
-    const double share =
-        static_cast<double>(change.layers.size()) / service.engine->layers;
-    const auto load = std::chrono::duration_cast<Duration>(
-        service.engine->load * share * kLoadSlack);
-    pending_[change.card] = {change.layers, now + load + kOrderSlack};
-    boost::asio::co_spawn(executor, Order(change), boost::asio::detached);
   }
 
   boost::asio::awaitable<void> Order(PlacementChange change) {
@@ -258,7 +168,7 @@
           .With("reason", !report  ? "no_report"
                           : !token ? "no_lease"
                                    : "busy");
-      pending_[change.card].until = clock_.Now() + kRetry;
+      rounds_.OnRefused(change.card, clock_.Now());
       co_return;
     }
     LayerOrder order;
@@ -276,7 +186,7 @@
               outcome ? Name(*outcome) : ToString(outcome.error().code));
     if (outcome && *outcome != OrderOutcome::kBegun &&
         *outcome != OrderOutcome::kHolds) {
-      pending_[change.card].until = clock_.Now() + kRetry;
+      rounds_.OnRefused(change.card, clock_.Now());
     }
   }
 
@@ -301,14 +211,10 @@
   const TheClock& clock_;
   std::string run_;
   LeaseClient<Table, TheClock> lease_;
-  std::map<std::string, Pending> pending_;
+  PlacementRounds rounds_;
   /// Endpoints that did not answer when they were asked.
   std::set<std::string> lost_;
   std::map<std::string, TimePoint> next_check_;
-  /// When chains used a card last.
-  std::map<std::string, TimePoint> used_at_;
-  std::size_t seen_cards_ = 0;
-  TimePoint seen_since_{};
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -20,6 +20,7 @@
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/relay/event_splitter.h"
 #include "sycamoreford/relay/relay_dialect.h"
+#include "sycamoreford/relay/send_limits.h"
 
 namespace sycamoreford {
 
@@ -30,22 +31,8 @@
 inline constexpr std::chrono::milliseconds kConnectTimeout{400};
 /// Connections that may fail before a request is given up; nothing was sent.
 inline constexpr int kMostConnectFailures = 3;
-/// Sends of one request at most, whatever its route allows.
-inline constexpr int kMostSends = 4;
 /// Largest answer of a plain service that is kept whole before it is passed on.
 inline constexpr std::size_t kAnswerLimit = 16UL * 1024 * 1024;
-/// When callers may come back after a refusal. About the time in which chains
-/// are repaired; spread, so that they do not return together.
-inline constexpr std::chrono::milliseconds kComeBackLeast{300};
-inline constexpr std::chrono::milliseconds kComeBackMost{1'500};
-/// With less time left a request is not sent any more: no endpoint could answer
-/// it.
-inline constexpr std::chrono::milliseconds kLeastTimeLeft{20};
-/// Urgency of a first send by priority, and of a stream that goes on elsewhere:
-/// that one is late already, and new ones are not yet.
-inline constexpr std::uint32_t kMostUrgentResume = 6;
-inline constexpr std::uint32_t kLeastUrgent = 9;
-
 /// One request on its way.
 struct Passage {
   RelayRequest request;
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -158,8 +158,4 @@
                                         TimePoint now,
                                         bool only_usable);
 
-/// Cards by their data centre.
-[[nodiscard]] std::map<std::string, std::vector<Card>> ByDataCentre(
-    std::vector<Card> cards);
-
 }  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/relay/send_limits.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace sycamoreford::relay {
+
+/// Sends of one request at most, whatever its route allows.
+inline constexpr int kMostSends = 4;
+/// When callers may come back after a refusal. About the time in which chains
+/// are repaired; spread, so that they do not return together.
+inline constexpr std::chrono::milliseconds kComeBackLeast{300};
+inline constexpr std::chrono::milliseconds kComeBackMost{1'500};
+/// With less time left a request is not sent any more: no endpoint could answer
+/// it.
+inline constexpr std::chrono::milliseconds kLeastTimeLeft{20};
+/// Urgency of a first send by priority, and of a stream that goes on elsewhere:
+/// that one is late already, and new ones are not yet.
+inline constexpr std::uint32_t kMostUrgentResume = 6;
+inline constexpr std::uint32_t kLeastUrgent = 9;
+
+}  // namespace sycamoreford::relay
--- /dev/null
+++ b/model/fleet_model.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "model_endpoint.h"
+#include "scenario.h"
+#include "sycamoreford/relay/stated_load.h"
+#include "sycamoreford/route/chain.h"
+
+namespace sycamoreford::model {
+
+/// What endpoints tell of a stream.
+struct StreamWatcher {
+  /// An event is ready; the first one ends the reading.
+  std::function<void(const StreamPtr&)> on_event;
+  std::function<void(const StreamPtr&)> on_done;
+  /// It was not run, as the endpoint at fault, if any, is dead or full.
+  std::function<void(const StreamPtr&, const std::string& fault)> on_refused;
+  /// It was cut off when it may have run.
+  std::function<void(const StreamPtr&)> on_broken;
+};
+
+/// A request to send along a chain.
+struct StreamOrder {
+  std::size_t request = 0;
+  Chain chain;
+  std::uint32_t urgency = 5;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;
+  /// Tokens of the answer that earlier sends have produced.
+  std::uint32_t written = 0;
+};
+
+/// All endpoints of a scenario: admission, passes, memory, preemption, loads
+/// and faults.
+///
+/// Left out: links between cards and pipes between data centres, the start and
+/// the end of connections, requests that are smaller than a pass.
+///
+/// Thread safety: none.
+class FleetModel {
+ public:
+  /// Precondition: both outlive this object.
+  FleetModel(const Scenario& scenario, EventQueue& queue);
+
+  void SetWatcher(StreamWatcher watcher) { watcher_ = std::move(watcher); }
+
+  /// Sends a request along a chain.
+  StreamPtr Send(const StreamOrder& order);
+  /// The caller or the daemon gives a stream up.
+  void Abort(const StreamPtr& stream);
+
+  /// Orders an endpoint to hold layers.
+  ///
+  /// \param on_loaded is called when they are loaded, unless the endpoint is
+  ///     lost meanwhile.
+  /// An endpoint that is ordered to hold more than its memory crashes.
+  ///
+  /// \returns whether it took the order: it is alive and loads nothing else.
+  bool Place(const std::string& endpoint,
+             LayerRange layers,
+             std::function<void()> on_loaded);
+
+  /// The load begins: loads take their whole time from here on.
+  void BeginLoad() { has_load_ = true; }
+
+  void Crash(const std::string& endpoint);
+  void Restart(const std::string& endpoint);
+  void SetDark(const std::string& endpoint, bool is_dark);
+  void SetSlowness(const std::string& endpoint, double factor);
+
+  [[nodiscard]] const std::map<std::string, std::unique_ptr<ModelEndpoint>>&
+  endpoints() const noexcept {
+    return endpoints_;
+  }
+  [[nodiscard]] StatedLoad LoadOf(const std::string& first) const;
+  /// Loads begun since `BeginLoad`, and streams preempted.
+  [[nodiscard]] std::uint32_t loads() const noexcept { return loads_; }
+  [[nodiscard]] std::uint32_t preemptions() const noexcept {
+    return preemptions_;
+  }
+  /// Orders that an endpoint's memory could not hold.
+  [[nodiscard]] std::uint32_t overfilled() const noexcept {
+    return overfilled_;
+  }
+
+ private:
+  /// Requests of which an endpoint is the first of the chain.
+  struct Door {
+    std::uint32_t running = 0;
+    std::deque<StreamPtr> waiting;
+  };
+
+  void OnPass(std::vector<WorkItem> pass);
+  void OnRead(const WorkItem& item);
+  void OnWritten(const StreamPtr& stream);
+  void Emit(const StreamPtr& stream, std::uint32_t tokens);
+  bool TryRun(const StreamPtr& stream);
+  void Run(const StreamPtr& stream);
+  void Grow(const StreamPtr& stream, std::uint32_t tokens);
+  void Preempt(ModelEndpoint& endpoint);
+  void ReadAgain(const StreamPtr& stream, std::uint32_t epoch);
+  void ReleaseMemory(ModelStream& stream);
+  void End(const StreamPtr& stream);
+  void Refuse(const StreamPtr& stream, const std::string& fault);
+  void Break(const StreamPtr& stream);
+  void Admit(Door& door);
+  /// Cuts what depends on an endpoint off, after the stall.
+  void StallAll(const std::string& endpoint);
+  [[nodiscard]] Door& DoorOf(const ModelStream& stream);
+  [[nodiscard]] bool Passes(const ModelStream& stream,
+                            const ModelEndpoint* endpoint) const;
+
+  const Scenario& scenario_;
+  EventQueue& queue_;
+  StreamWatcher watcher_;
+  std::map<std::string, std::unique_ptr<ModelEndpoint>> endpoints_;
+  std::map<std::string, Door> doors_;
+  std::map<std::string, bool> is_dark_;
+  /// By number, so that the newest is the last.
+  std::map<std::uint64_t, StreamPtr> streams_;
+  std::uint64_t sent_ = 0;
+  std::uint32_t loading_ = 0;
+  std::uint32_t loads_ = 0;
+  std::uint32_t preemptions_ = 0;
+  std::uint32_t overfilled_ = 0;
+  bool has_load_ = false;
+};
+
+}  // namespace sycamoreford::model
--- /dev/null
+++ b/model/policies.cc
@@ -0,0 +1,26 @@
+#include "policies.h"
+
+#include "router_model.h"
+
+namespace sycamoreford::model {
+
+std::vector<std::string> PolicyNames() {
+  return {"product", "one_chain", "pairs"};
+}
+
+std::optional<DayResult> Play(std::string_view policy,
+                              const Scenario& scenario,
+                              std::uint64_t seed) {
+  if (policy == "product") {
+    return RouterModel<PlacementRounds>(scenario, seed).Play();
+  }
+  if (policy == "one_chain") {
+    return RouterModel<FixedLayout<OneChainLayout>>(scenario, seed).Play();
+  }
+  if (policy == "pairs") {
+    return RouterModel<FixedLayout<PairLayout>>(scenario, seed).Play();
+  }
+  return std::nullopt;
+}
+
+}  // namespace sycamoreford::model
--- /dev/null
+++ b/model/upper_bound.cc
@@ -0,0 +1,98 @@
+#include "upper_bound.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace sycamoreford::model {
+namespace {
+
+/// Memory of all cards with one step factor.
+struct Class {
+  double step_factor = 1;
+  double memory_mb = 0;
+};
+
+std::vector<Class> ClassesOf(const Scenario& scenario) {
+  std::vector<Class> classes;
+  for (const auto& [name, kind] : scenario.engine.kinds) {
+    std::uint32_t cards = 0;
+    for (const DataCentreSpec& data_centre : scenario.data_centres) {
+      const auto found = data_centre.cards.find(name);
+      cards += found == data_centre.cards.end() ? 0 : found->second;
+    }
+    classes.push_back({kind.step_factor, cards * kind.memory_mb});
+  }
+  std::sort(classes.begin(), classes.end(), [](const Class& a, const Class& b) {
+    return a.step_factor < b.step_factor;
+  });
+  return classes;
+}
+
+/// The least time that an answer can take when `rate` requests a second hold
+/// memory for `held`, in seconds; infinite when they do not fit.
+double LeastTime(const Scenario& scenario,
+                 const std::vector<Class>& classes,
+                 double rate,
+                 double held) {
+  const double model_mb = scenario.engine.layers * scenario.engine.layer_mb;
+  const double token_mb =
+      scenario.engine.token_layer_mb() * scenario.engine.layers;
+  const double needed =
+      model_mb + rate * held * scenario.mean_tokens() * token_mb;
+  double left = 1;
+  double factor = 0;
+  for (const Class& it : classes) {
+    const double share = std::min(left, it.memory_mb / needed);
+    factor += share * it.step_factor;
+    left -= share;
+  }
+  constexpr double kEpsilon = 1e-9;
+  if (left > kEpsilon) {
+    return std::numeric_limits<double>::infinity();
+  }
+  constexpr double kMsPerSecond = 1e3;
+  return scenario.mean_answer_tokens() * factor * scenario.engine.step.count() /
+         kMsPerSecond;
+}
+
+bool IsPossible(const Scenario& scenario,
+                const std::vector<Class>& classes,
+                double rate) {
+  // Memory held for longer leaves less of the fast cards to each request: the
+  // least fixed point is found from below.
+  double held = 0;
+  constexpr int kRounds = 200;
+  for (int round = 0; round < kRounds; ++round) {
+    const double next = LeastTime(scenario, classes, rate, held);
+    if (next == std::numeric_limits<double>::infinity()) {
+      return false;
+    }
+    if (next <= held) {
+      return true;
+    }
+    constexpr double kGrowth = 1.001;
+    held = next * kGrowth;
+  }
+  return false;
+}
+
+}  // namespace
+
+double UpperBound(const Scenario& scenario) {
+  const std::vector<Class> classes = ClassesOf(scenario);
+  double possible = 0;
+  double impossible = 1;
+  while (IsPossible(scenario, classes, impossible)) {
+    possible = impossible;
+    impossible *= 2;
+  }
+  constexpr double kPrecision = 0.01;
+  while (impossible - possible > kPrecision) {
+    const double middle = (possible + impossible) / 2;
+    (IsPossible(scenario, classes, middle) ? possible : impossible) = middle;
+  }
+  return possible;
+}
+
+}  // namespace sycamoreford::model
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sycamoreford/core/log.h"
+#include "sycamoreford/placement/placement_rounds.h"
 
 namespace sycamoreford {
 namespace {
@@ -59,14 +60,6 @@
   return cards;
 }
 
-std::map<std::string, std::vector<Card>> ByDataCentre(std::vector<Card> cards) {
-  std::map<std::string, std::vector<Card>> grouped;
-  for (Card& card : cards) {
-    grouped[card.data_centre].push_back(std::move(card));
-  }
-  return grouped;
-}
-
 RelayState::RelayState(std::string data_centre, RetryAllowance retries)
     : data_centre_(std::move(data_centre)),
       retry_allowance_(retries),
