Read a lease again before taking it, and tell peers of configurations

Cause 1: a daemon that looks at the lease less often than the lease lapses (the patient ones, 6 s against 2.6 s) took the row it had read before for the present one: each look was followed by a write that had to fail and by another read. Change: only a read that ended after the lease can have lapsed allows a write; those that look often look at that moment. Test fails before.

Cause 2: an answer to the long poll of the configuration that is lost is noticed after 10.9 s only, while the bound for a configuration is 2 s after the store is calm again. Change: daemons tell the revision in force with the retries that they tell anyway; one that hears of a higher one reads the configuration if its own poll has not brought it within 300 ms. The list's poll waits 2 s instead of 10 s: entries are renewed every second, so that it costs no call. Tests fail before.

Also: cards are asked directly less often where there are many daemons while the store is away (28 daemons asked 86 cards every second).

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -84,6 +84,28 @@
     }
   }
 
+  /// Another daemon has this revision in force. Reads the configuration when
+  /// the poll does not bring it: its answer may have been lost.
+  boost::asio::awaitable<void> CatchUp(std::uint64_t revision) {
+    if (is_catching_up_ || Knows(revision)) {
+      co_return;
+    }
+    is_catching_up_ = true;
+    co_await Pause(kToldAhead);
+    if (!Knows(revision)) {
+      const Result<ManifestListing> listing = co_await store_.ReadManifest();
+      if (listing && listing->manifest) {
+        state_.Accept(listing->manifest);
+      }
+      LogEvent(Severity::kInfo, "configuration_caught_up")
+          .With("told", revision)
+          .With("in_force",
+                state_.manifest() ? state_.manifest()->revision() : 0)
+          .With("reason", listing ? "" : listing.error().where);
+    }
+    is_catching_up_ = false;
+  }
+
   /// Takes over the endpoints that a peer knows, unless the store's list was
   /// read already.
   void TakeFromPeer(const std::vector<EndpointRecord>& records) {
@@ -102,7 +124,7 @@
     const TimePoint now = clock_.Now();
     state_.directory().Expire(now);
     if (away_since_ && now - *away_since_ > kAwayFor && now >= ask_at_) {
-      ask_at_ = now + kAskInterval;
+      ask_at_ = now + kAskInterval * state_.thinning();
       AskCards();
     }
   }
@@ -119,6 +141,11 @@
 
   /// Longest wait of one question for changes; each answer is a paid call.
   static constexpr std::chrono::milliseconds kWait{10'000};
+  /// The same for the list: endpoints renew their entries every second or so,
+  /// and a question without an answer is to be noticed.
+  static constexpr std::chrono::milliseconds kEndpointWait{2'000};
+  /// Another daemon's poll may bring a configuration this much earlier.
+  static constexpr std::chrono::milliseconds kToldAhead{300};
   /// Changes of the list that come close together are taken in one call. Far
   /// below the bound within which a leaving endpoint must be left alone.
   static constexpr std::chrono::milliseconds kGather{150};
@@ -136,6 +163,10 @@
   /// of its return.
   static constexpr std::chrono::milliseconds kLapseGrace{2'200};
 
+  [[nodiscard]] bool Knows(std::uint64_t revision) const {
+    return state_.manifest() && state_.manifest()->revision() >= revision;
+  }
+
   boost::asio::awaitable<Result<ManifestListing>> NextManifest(
       std::optional<std::uint64_t> position) {
     if (position) {
@@ -147,7 +178,7 @@
   boost::asio::awaitable<Result<EndpointListing>> NextEndpoints(
       std::optional<std::uint64_t> position) {
     if (position) {
-      co_return co_await store_.AwaitEndpoints(*position, kWait);
+      co_return co_await store_.AwaitEndpoints(*position, kEndpointWait);
     }
     co_return co_await store_.ReadEndpoints();
   }
@@ -233,6 +264,7 @@
   /// Since when the list can't be read.
   std::optional<TimePoint> away_since_;
   TimePoint ask_at_{};
+  bool is_catching_up_ = false;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,12 +16,14 @@
 namespace sycamoreford {
 
 /// What one daemon tells the others: trouble with an endpoint, or the retries
-/// that it has used.
+/// that it has used and its configuration.
 struct PeerMessage {
   /// Id of the endpoint; empty when the message is of retries.
   std::string endpoint;
   std::string service;
   RetryUsage usage;
+  /// Configuration in force at the sender; 0 when it has none.
+  std::uint64_t revision = 0;
 
   [[nodiscard]] std::string ToText() const;
   /// \returns nothing when the text is no message.
@@ -31,8 +34,8 @@
 /// Datagrams between daemons.
 ///
 /// They may be lost, so that they carry hints only: whoever hears of trouble
-/// looks for itself, and whoever does not hear of retries keeps to its own
-/// part.
+/// looks for itself, who hears of a configuration reads it from the store, and
+/// whoever does not hear of retries keeps to its own part.
 ///
 /// Thread safety: none; runs on the thread of its context.
 class PeerDatagrams {
--- a/include/sycamoreford/lease/lease_machine.h
+++ b/include/sycamoreford/lease/lease_machine.h
@@ -108,7 +108,10 @@
   [[nodiscard]] std::optional<TableTransaction> Release(TimePoint now);
 
  private:
-  [[nodiscard]] bool MayTake(TimePoint now) const noexcept;
+  /// Whether the last read showed that the lease is free.
+  [[nodiscard]] bool MayTake() const noexcept;
+  /// When the lease lapses if its holder does not renew it.
+  [[nodiscard]] TimePoint LapsesAt() const noexcept;
   void Believe();
 
   std::string name_;
@@ -120,6 +123,8 @@
   std::optional<std::uint64_t> seen_version_;
   LeaseRow seen_;
   TimePoint seen_since_{};
+  /// When it was read last.
+  TimePoint read_at_{};
   bool is_fresh_ = false;
   /// The write under way.
   LeaseRow writing_;
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -35,6 +35,7 @@
     object["service"] = service;
     object["requests"] = usage.requests;
     object["repeats"] = usage.repeats;
+    object["revision"] = revision;
   }
   return json::serialize(object);
 }
@@ -51,6 +52,7 @@
     message.service = json::value_to<std::string>(object.at("service"));
     message.usage.requests = object.at("requests").to_number<std::uint32_t>();
     message.usage.repeats = object.at("repeats").to_number<std::uint32_t>();
+    message.revision = object.at("revision").to_number<std::uint64_t>();
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/lease/lease_machine.cc
+++ b/src/lease/lease_machine.cc
@@ -1,5 +1,6 @@
 #include "sycamoreford/lease/lease_machine.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -40,7 +41,7 @@
 LeaseMachine::Step LeaseMachine::NextStep(TimePoint now) const noexcept {
   switch (state_) {
     case State::kWatching:
-      if (is_fresh_ && MayTake(now)) {
+      if (is_fresh_ && MayTake()) {
         return Step::kWrite;
       }
       return now >= next_read_ ? Step::kRead : Step::kWait;
@@ -57,8 +58,12 @@
   return Step::kWait;
 }
 
-bool LeaseMachine::MayTake(TimePoint now) const noexcept {
-  return seen_.holder.empty() || now >= seen_since_ + times_.ttl + times_.drift;
+bool LeaseMachine::MayTake() const noexcept {
+  return seen_.holder.empty() || read_at_ >= LapsesAt();
+}
+
+TimePoint LeaseMachine::LapsesAt() const noexcept {
+  return seen_since_ + times_.ttl + times_.drift;
 }
 
 TableTransaction LeaseMachine::BeginWrite(const std::string& write_id,
@@ -95,8 +100,13 @@
     seen_since_ = now;
   }
   is_fresh_ = true;
+  read_at_ = now;
   const bool is_mine = seen_.holder == holder_ && seen_.fencing == fencing_;
   next_read_ = now + (is_mine ? times_.renewal : times_.look);
+  const bool looks_often = times_.look < times_.ttl + times_.drift;
+  if (!is_mine && looks_often && now < LapsesAt()) {
+    next_read_ = std::min(next_read_, LapsesAt());
+  }
   if (state_ == State::kWriting && seen_.write_id == writing_.write_id) {
     Believe();
   } else if (!is_mine) {
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -46,12 +46,20 @@
   std::deque<Result<ManifestListing>> manifests;
   std::deque<Result<EndpointListing>> endpoints;
   int whole_reads = 0;
+  int whole_configuration_reads = 0;
+  /// Whether polls for the configuration stay without an answer.
+  bool polls_hang = false;
+  milliseconds endpoint_wait{0};
 
   asio::awaitable<Result<ManifestListing>> ReadManifest() {
+    ++whole_configuration_reads;
     co_return co_await Next(manifests);
   }
   asio::awaitable<Result<ManifestListing>> AwaitManifest(std::uint64_t,
                                                          milliseconds) {
+    while (polls_hang) {
+      co_await Pause(milliseconds(5));
+    }
     co_return co_await Next(manifests);
   }
   asio::awaitable<Result<EndpointListing>> ReadEndpoints() {
@@ -59,7 +67,8 @@
     co_return co_await Next(endpoints);
   }
   asio::awaitable<Result<EndpointListing>> AwaitEndpoints(std::uint64_t,
-                                                          milliseconds) {
+                                                          milliseconds wait) {
+    endpoint_wait = wait;
     co_return co_await Next(endpoints);
   }
 
@@ -123,6 +132,22 @@
     it.RunFor(milliseconds(100));
     REQUIRE(it.state.manifest()->revision() == 3);
 
+    SECTION("another daemon has a newer one, and the poll has no answer") {
+      it.store.polls_hang = true;
+      it.RunFor(milliseconds(600));
+      it.store.manifests.clear();
+      push(5);
+      asio::co_spawn(it.context, it.follower.CatchUp(5), asio::detached);
+      asio::co_spawn(it.context, it.follower.CatchUp(5), asio::detached);
+      it.RunFor(milliseconds(600));
+      REQUIRE(it.state.manifest()->revision() == 5);
+      REQUIRE(it.store.whole_configuration_reads == 2);
+    }
+    SECTION("another daemon has one that is known already") {
+      asio::co_spawn(it.context, it.follower.CatchUp(3), asio::detached);
+      it.RunFor(milliseconds(600));
+      REQUIRE(it.store.whole_configuration_reads == 1);
+    }
     SECTION("and the next is taken when it is back") {
       push(4);
       it.RunFor(milliseconds(600));
@@ -140,6 +165,11 @@
   REQUIRE(it.follower.has_endpoints());
   REQUIRE(directory.endpoints().size() == 2);
 
+  SECTION("a poll without an answer is noticed within three seconds") {
+    it.RunFor(milliseconds(400));
+    REQUIRE(it.store.endpoint_wait > milliseconds(0));
+    REQUIRE(it.store.endpoint_wait <= milliseconds(2'000));
+  }
   SECTION("one is removed") {
     it.store.endpoints.emplace_back(Listing({}, 11, {"1"}));
     it.RunFor(milliseconds(400));
@@ -311,9 +341,11 @@
     PeerMessage used;
     used.service = "s";
     used.usage = {.requests = 7, .repeats = 2};
+    used.revision = 12;
     const auto read = PeerMessage::Parse(used.ToText());
     REQUIRE(read->service == "s");
     REQUIRE(read->usage.repeats == 2);
+    REQUIRE(read->revision == 12);
   }
   SECTION("other bytes are no message") {
     const std::string text = GENERATE("", "x", "[]", "{}", "{\"trouble\":1}",
--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -182,6 +182,45 @@
   }));
 }
 
+TEST_CASE("a lease that is looked at rarely") {
+  using std::chrono::milliseconds;
+  using Step = LeaseMachine::Step;
+  const TimePoint now{std::chrono::hours(1)};
+  const auto row = [](std::uint64_t version) {
+    LeaseRow lease{.holder = "other", .fencing = FencingToken(1)};
+    lease.write_id = "w" + std::to_string(version);
+    return TableRow{LeaseRowKey("l"), SerializeLease(lease), version};
+  };
+  LeaseTimes times{.ttl = milliseconds(2'400),
+                   .renewal = milliseconds(800),
+                   .look = milliseconds(6'000),
+                   .drift = milliseconds(200)};
+  SECTION("between looks nothing is written on what the last one saw") {
+    LeaseMachine machine("l", "me", times);
+    machine.OnRow(row(1), now);
+    REQUIRE(machine.NextStep(now + milliseconds(2'700)) == Step::kWait);
+    REQUIRE(machine.NextStep(now + milliseconds(6'000)) == Step::kRead);
+    SECTION("the holder has renewed it") {
+      machine.OnRow(row(8), now + milliseconds(6'000));
+      REQUIRE(machine.NextStep(now + milliseconds(8'700)) == Step::kWait);
+    }
+    SECTION("it stands unchanged") {
+      machine.OnRow(row(1), now + milliseconds(6'000));
+      REQUIRE(machine.NextStep(now + milliseconds(6'000)) == Step::kWrite);
+    }
+  }
+  SECTION("one that looks often does so when the lease can have lapsed") {
+    times.look = milliseconds(1'500);
+    LeaseMachine machine("l", "me", times);
+    machine.OnRow(row(1), now);
+    machine.OnRow(row(1), now + milliseconds(1'500));
+    REQUIRE(machine.NextStep(now + milliseconds(2'599)) == Step::kWait);
+    REQUIRE(machine.NextStep(now + milliseconds(2'600)) == Step::kRead);
+    machine.OnRow(row(1), now + milliseconds(2'604));
+    REQUIRE(machine.NextStep(now + milliseconds(2'604)) == Step::kWrite);
+  }
+}
+
 TEST_CASE("a planned stop lets another take over without waiting") {
   FakeTable rows;
   const TimePoint now{std::chrono::hours(1)};
