Repeat refused calls of the store less often

Change: watchers wait a quarter of a look; the configuration's poll waits up to 2 s for the list's poll to find the store back; a failed catching up pauses 2 s. Test of the lease fails before.

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -38,6 +38,10 @@
       Result<ManifestListing> listing = co_await NextManifest(position);
       if (!listing) {
         co_await Lost(connection, listing.error());
+        const TimePoint latest = clock_.Now() + kAwaitOther;
+        while (away_since_ && clock_.Now() < latest) {
+          co_await Pause(kCallAgain);
+        }
         continue;
       }
       Regained(connection);
@@ -97,6 +101,9 @@
       if (listing && listing->manifest) {
         state_.Accept(listing->manifest);
       }
+      if (!listing) {
+        co_await Pause(kCatchUpAgain);
+      }
       LogEvent(Severity::kInfo, "configuration_caught_up")
           .With("told", revision)
           .With("in_force",
@@ -146,6 +153,11 @@
   static constexpr std::chrono::milliseconds kEndpointWait{2'000};
   /// Another daemon's poll may bring a configuration this much earlier.
   static constexpr std::chrono::milliseconds kToldAhead{300};
+  /// Pause after a failed read: others tell all the time.
+  static constexpr std::chrono::milliseconds kCatchUpAgain{2'000};
+  /// The poll of the configuration waits this long at most for the list's poll
+  /// to find the store back; each try that is refused is a paid call.
+  static constexpr std::chrono::milliseconds kAwaitOther{2'000};
   /// Changes of the list that come close together are taken in one call. Far
   /// below the bound within which a leaving endpoint must be left alone.
   static constexpr std::chrono::milliseconds kGather{150};
--- a/src/lease/lease_machine.cc
+++ b/src/lease/lease_machine.cc
@@ -121,7 +121,8 @@
 
 void LeaseMachine::OnReadFailed(TimePoint now) {
   is_fresh_ = false;
-  next_read_ = now + times_.renewal / 4;
+  const bool only_watches = state_ == State::kWatching;
+  next_read_ = now + (only_watches ? times_.look : times_.renewal) / 4;
 }
 
 void LeaseMachine::OnWritten(std::optional<bool> committed, TimePoint now) {
--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -209,6 +209,13 @@
       REQUIRE(machine.NextStep(now + milliseconds(6'000)) == Step::kWrite);
     }
   }
+  SECTION("a table that can not be read is asked again as rarely") {
+    LeaseMachine machine("l", "me", times);
+    machine.OnRow(row(1), now);
+    machine.OnReadFailed(now + milliseconds(6'000));
+    REQUIRE(machine.NextStep(now + milliseconds(7'499)) == Step::kWait);
+    REQUIRE(machine.NextStep(now + milliseconds(7'500)) == Step::kRead);
+  }
   SECTION("one that looks often does so when the lease can have lapsed") {
     times.look = milliseconds(1'500);
     LeaseMachine machine("l", "me", times);
