--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -163,6 +163,18 @@
     return nullptr;
   }
 
+  [[nodiscard]] static bool IsServerError(unsigned status) noexcept {
+    constexpr unsigned kFirstServerError = 500;
+    return status >= kFirstServerError;
+  }
+
+  /// Time since the request arrived.
+  [[nodiscard]] std::chrono::milliseconds Elapsed(
+      const Passage& passage) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock_.Now() - passage.arrived);
+  }
+
   std::chrono::milliseconds ComeBack() {
     std::uniform_int_distribution<std::int64_t> spread(
         relay::kComeBackLeast.count(), relay::kComeBackMost.count());
@@ -178,8 +190,7 @@
         .With("route", passage.route == nullptr ? "" : passage.route->name)
         .With("revision", passage.manifest ? passage.manifest->revision() : 0)
         .With("sends", passage.sends)
-        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              clock_.Now() - passage.arrived));
+        .With("after_ms", Elapsed(passage));
     Ended(passage, ToString(refusal));
     co_await exchange.Respond(Dialect::Refuse(refusal, ComeBack()));
   }
@@ -228,7 +239,7 @@
 
   boost::asio::awaitable<void> ServeByEndpoint(HttpExchange& exchange,
                                                Passage& passage) {
-    std::optional<std::pair<HttpResponse, std::string>> failed_answer;
+    std::optional<HttpResponse> failed_answer;
     while (MaySendAgain(passage)) {
       if (passage.tried.size() >= passage.route->max_attempts) {
         break;
@@ -259,7 +270,7 @@
     }
     if (failed_answer) {
       Ended(passage, "endpoint_failed");
-      co_await exchange.Respond(std::move(failed_answer->first));
+      co_await exchange.Respond(std::move(*failed_answer));
       co_return;
     }
     co_await Refuse(exchange, passage, GivenUp(passage));
@@ -294,7 +305,7 @@
       HttpExchange& exchange,
       Passage& passage,
       const EndpointRecord& record,
-      std::optional<std::pair<HttpResponse, std::string>>& failed_answer) {
+      std::optional<HttpResponse>& failed_answer) {
     const TimePoint began = clock_.Now();
     const auto left = passage.TimeLeft(began);
     // One that may be repeated does not wait for a silent endpoint.
@@ -335,16 +346,15 @@
       HttpCall& call,
       EndpointUse& use,
       TimePoint began,
-      std::optional<std::pair<HttpResponse, std::string>>& failed_answer) {
+      std::optional<HttpResponse>& failed_answer) {
     const AnswerHead head =
         Dialect::Judge(passage.request.id, call.status(), call.fields());
     auto body = co_await call.ReadAll(relay::kAnswerLimit,
                                       passage.TimeLeft(clock_.Now()));
     co_await ThrowIfGone();
     const TimePoint now = clock_.Now();
-    constexpr unsigned kFirstServerError = 500;
     const bool is_good =
-        body.has_value() && head.IsTrusted() && head.status < kFirstServerError;
+        body.has_value() && head.IsTrusted() && !IsServerError(head.status);
     use.Answered(now, now - began, is_good);
     if (head.is_not_run) {
       LogNotRun(passage, endpoint, head);
@@ -360,7 +370,7 @@
     HttpResponse response = Dialect::Pass(call.status(), call.fields());
     response.body = std::move(*body);
     if (!is_good && passage.MayRepeat()) {
-      failed_answer.emplace(std::move(response), endpoint);
+      failed_answer = std::move(response);
       co_return Sent::kLost;
     }
     Ended(passage, is_good ? "answered" : "endpoint_failed");
@@ -431,8 +441,7 @@
         .With("request", passage.request.id)
         .With("events", progress.events.events())
         .With("sends", passage.sends)
-        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              clock_.Now() - passage.arrived));
+        .With("after_ms", Elapsed(passage));
   }
 
   [[nodiscard]] static double ExpectedTokens(const Passage& passage) {
@@ -565,8 +574,7 @@
     auto body = co_await call.ReadAll(relay::kAnswerLimit,
                                       passage.TimeLeft(clock_.Now()));
     co_await ThrowIfGone();
-    constexpr unsigned kFirstServerError = 500;
-    const bool is_failure = head.status >= kFirstServerError;
+    const bool is_failure = IsServerError(head.status);
     if (!body.has_value() || !head.IsTrusted() || progress.has_begun ||
         (is_failure && passage.MayRepeat() && passage.sends <= 1)) {
       LogLost(passage, first,
@@ -680,8 +688,7 @@
         .With("reason", ToString(failure.code))
         .With("where", failure.where)
         .With("sends", passage.sends)
-        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              clock_.Now() - passage.arrived));
+        .With("after_ms", Elapsed(passage));
   }
 
   void LogNotRun(const Passage& passage,
--- a/include/sycamoreford/relay/manifest.h
+++ b/include/sycamoreford/relay/manifest.h
@@ -55,8 +55,6 @@
 /// One service behind the router.
 struct RelayService {
   std::string name;
-  /// Most connections that one endpoint takes from all callers.
-  std::uint32_t max_connections = 0;
   /// Set for services whose endpoints run layers of a model.
   std::optional<EngineProfile> engine;
 };
