Replace slow cards, do not order them to load, tell all how slow they are

(2) Each daemon learned of slow cards by its own streams only, so that at one moment daemons believed a chain to take 6.2, 12.9 and 29.7 ms a step, and some went on sending to it; a card that was fast again was never asked again. (3) Layers stayed on slow cards in use though others stood by.

Change: the planner prefers cards that are not degraded (twice their kind's time or more) for gaps, and gives the layers of degraded cards in use to cards that stand by if these need half the time. An order is not given to a card whose report shows for the first time that it is degraded; the next round plans with that. A daemon that learns of a pace tells the others (endpoint_pace in the log); slow endpoints are asked again every 2 s, less often with many daemons. Tests of the planner and of the loops fail without it.

--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -43,6 +44,11 @@
         }
       }
       for (const auto& [id, known] : state_.directory().endpoints()) {
+        if (known.slowness > 1 && now >= pace_at_[id]) {
+          // Nothing else would show that it is fast again.
+          pace_at_[id] = now + kPaceAgain * state_.thinning();
+          boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+        }
         const bool ends_soon = known.suspected_until > now &&
                                known.suspected_until - now < kLookAhead;
         if (ends_soon && !inspected_.contains(id)) {
@@ -58,6 +64,9 @@
   /// Before the end of a suspicion the endpoint is asked; longer than it may
   /// take to answer, so that a dead one is never used in between.
   static constexpr std::chrono::milliseconds kLookAhead{500};
+  /// Time from one question to a slow endpoint to the next, with few daemons;
+  /// each question is paid for.
+  static constexpr std::chrono::milliseconds kPaceAgain{2'000};
 
   /// Asks an endpoint how it is, once at a time.
   boost::asio::awaitable<void> Inspect(std::string id) {
@@ -79,7 +88,7 @@
       co_return;
     }
     state_.directory().OnLayers(id, report->layers);
-    state_.directory().OnSlowness(id, report->slowness);
+    state_.OnSlowness(id, report->slowness);
     state_.directory().OnAlive(id, clock_.Now());
     std::set<std::string> blamed;
     for (const StalledRequest& stalled : report->stalled) {
@@ -94,6 +103,8 @@
     }
   }
 
+  /// When slow endpoints are asked for their pace again.
+  std::map<std::string, TimePoint> pace_at_;
   /// Endpoints that are being asked.
   std::set<std::string> inspected_;
   RelayState& state_;
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -20,6 +20,8 @@
 struct PeerMessage {
   /// Id of the endpoint; empty when the message is of retries.
   std::string endpoint;
+  /// How slow the endpoint states to be; empty when there is other trouble.
+  std::optional<double> slowness;
   std::string service;
   RetryUsage usage;
   /// Configuration in force at the sender; 0 when it has none.
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -58,11 +58,13 @@
                    [this](const PeerMessage& message, const std::string& from) {
                      OnMessage(message, from);
                    }) {
-    state_.SetTeller([this](const std::string& endpoint) {
-      PeerMessage message;
-      message.endpoint = endpoint;
-      datagrams_.Send(roster_.roster().Addresses(clock_.Now()), message);
-    });
+    state_.SetTeller(
+        [this](const std::string& endpoint, std::optional<double> slowness) {
+          PeerMessage message;
+          message.endpoint = endpoint;
+          message.slowness = slowness;
+          datagrams_.Send(roster_.roster().Addresses(clock_.Now()), message);
+        });
   }
 
   /// Receives what others tell; does not return.
@@ -132,6 +134,11 @@
   }
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
+    if (message.slowness) {
+      // Not told on: whoever asked the endpoint has told all.
+      state_.directory().OnSlowness(message.endpoint, *message.slowness);
+      return;
+    }
     if (!message.endpoint.empty()) {
       state_.Inspect(message.endpoint);
       return;
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -171,6 +171,19 @@
       rounds_.OnRefused(change.card, clock_.Now());
       co_return;
     }
+    known = state_.directory().Find(change.card);
+    const bool was_degraded = known != nullptr && IsDegraded(known->slowness);
+    state_.OnSlowness(change.card, report->slowness);
+    if (IsDegraded(report->slowness) && !was_degraded) {
+      // It would load as slowly as it runs.
+      LogEvent(Severity::kInfo, "order_not_given")
+          .With("endpoint", change.card)
+          .With("reason", "degraded")
+          .With("slowness_percent",
+                static_cast<std::int64_t>(report->slowness * 100));
+      rounds_.OnNotGiven(change.card);
+      co_return;
+    }
     LayerOrder order;
     order.layers = change.layers;
     order.fencing = *token;
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -98,8 +98,10 @@
     inspect_ = std::move(inspect);
   }
 
-  /// Sets what tells other daemons of an endpoint that there is trouble with.
-  void SetTeller(std::function<void(const std::string&)> tell) {
+  /// Sets what tells other daemons of an endpoint that there is trouble with,
+  /// or how slow it states to be.
+  void SetTeller(
+      std::function<void(const std::string&, std::optional<double>)> tell) {
     tell_ = std::move(tell);
   }
 
@@ -114,6 +116,10 @@
   /// looked at to learn whether it is lost.
   void OnTrouble(const std::string& id, TimePoint now);
 
+  /// An endpoint stated how slow it is: chains weigh it by that, here and at
+  /// the other daemons.
+  void OnSlowness(const std::string& id, double slowness);
+
   /// An endpoint is lost: it is not used for a while, and the requests that
   /// pass it are given up there.
   ///
@@ -147,7 +153,7 @@
   std::uint32_t daemons_;
   std::size_t rank_ = 0;
   std::function<void(std::string)> inspect_;
-  std::function<void(const std::string&)> tell_;
+  std::function<void(const std::string&, std::optional<double>)> tell_;
 };
 
 /// The cards of a service among its endpoints.
--- a/include/sycamoreford/fleet/endpoint_directory.h
+++ b/include/sycamoreford/fleet/endpoint_directory.h
@@ -71,7 +71,7 @@
   void OnAlive(std::string_view id, TimePoint now);
 
   /// The endpoint stated how slow it is. Small changes are passed over.
-  void OnSlowness(std::string_view id, double slowness);
+  bool OnSlowness(std::string_view id, double slowness);
 
   /// A request was answered by the endpoint.
   void OnSuccess(std::string_view id);
--- a/include/sycamoreford/placement/card.h
+++ b/include/sycamoreford/placement/card.h
@@ -16,6 +16,8 @@
   AcceleratorKind kind;
   /// Layers that it holds or is ordered to hold.
   LayerRange layers;
+  /// How much slower than its kind it is at present; `kind` includes it.
+  double slowness = 1;
   /// Whether the weights of `layers` are still being loaded.
   bool is_loading = false;
 
--- a/include/sycamoreford/placement/placement_planner.h
+++ b/include/sycamoreford/placement/placement_planner.h
@@ -26,6 +26,10 @@
 [[nodiscard]] double RoomTarget(const EngineProfile& profile,
                                 const std::vector<Card>& cards);
 
+/// Whether a card that takes this many times as long as its kind is given
+/// layers only when there is no other.
+[[nodiscard]] bool IsDegraded(double slowness) noexcept;
+
 /// The next changes of what the cards of one data centre hold.
 ///
 /// Empty cards take the layers that fewest cards hold, fastest card first, so
--- a/include/sycamoreford/placement/placement_rounds.h
+++ b/include/sycamoreford/placement/placement_rounds.h
@@ -34,6 +34,10 @@
   /// after a pause.
   void OnRefused(const std::string& card, TimePoint now);
 
+  /// An order was not given, since the card turned out to be unfit for it: the
+  /// next round plans without it.
+  void OnNotGiven(const std::string& card) { pending_.erase(card); }
+
   /// Forgets the orders under way; for a daemon that no longer gives them.
   void Forget() { pending_.clear(); }
 
--- a/model/fleet_model.cc
+++ b/model/fleet_model.cc
@@ -304,7 +304,7 @@
   const auto time = std::chrono::duration_cast<Duration>(
       scenario_.engine.load *
       (static_cast<double>(added) / scenario_.engine.layers * crowd *
-       (has_load_ ? 1 : kEarlyLoad)));
+       endpoint.slowness() * (has_load_ ? 1 : kEarlyLoad)));
   queue_.After(time, [this, &endpoint, run = endpoint.run(),
                       on_loaded = std::move(on_loaded)] {
     --loading_;
--- a/model/router_model.h
+++ b/model/router_model.h
@@ -520,6 +520,7 @@
       kind = fleet_.endpoints().at(id)->card().kind;
       kind.step_factor *= factor;
       kind.read_factor *= factor;
+      views_[id].card.slowness = factor;
       Rebuild();
     });
   }
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -31,6 +31,9 @@
   json::object object;
   if (!endpoint.empty()) {
     object["trouble"] = endpoint;
+    if (slowness) {
+      object["slowness"] = *slowness;
+    }
   } else {
     object["service"] = service;
     object["requests"] = usage.requests;
@@ -47,6 +50,9 @@
     PeerMessage message;
     if (const json::value* trouble = object.if_contains("trouble")) {
       message.endpoint = json::value_to<std::string>(*trouble);
+      if (const json::value* slowness = object.if_contains("slowness")) {
+        message.slowness = slowness->to_number<double>();
+      }
       return message;
     }
     message.service = json::value_to<std::string>(object.at("service"));
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -56,6 +56,7 @@
                      .layers = record.layers});
     cards.back().kind.step_factor *= known.slowness;
     cards.back().kind.read_factor *= known.slowness;
+    cards.back().slowness = known.slowness;
   }
   return cards;
 }
@@ -172,7 +173,19 @@
   directory_.Suspect(id, now);
   Inspect(id);
   if (tell_) {
-    tell_(id);
+    tell_(id, std::nullopt);
+  }
+}
+
+void RelayState::OnSlowness(const std::string& id, double slowness) {
+  if (!directory_.OnSlowness(id, slowness)) {
+    return;
+  }
+  LogEvent(Severity::kInfo, "endpoint_pace")
+      .With("endpoint", id)
+      .With("slowness_percent", static_cast<std::int64_t>(slowness * 100));
+  if (tell_) {
+    tell_(id, slowness);
   }
 }
 
@@ -189,7 +202,7 @@
   const bool is_news = known != nullptr && known->IsUsable(now);
   const Duration time = directory_.Suspect(id, now);
   if (is_news && tell_) {
-    tell_(id);
+    tell_(id, std::nullopt);
   }
   std::size_t aborted = 0;
   for (ActiveAttempt& attempt : attempts_) {
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -116,17 +116,20 @@
   }
 }
 
-void EndpointDirectory::OnSlowness(std::string_view id, double slowness) {
+bool EndpointDirectory::OnSlowness(std::string_view id, double slowness) {
   const auto found = endpoints_.find(id);
   if (found == endpoints_.end()) {
-    return;
+    return false;
   }
   const double stated = std::max(1.0, slowness);
   double& known = found->second.slowness;
-  if (stated > known * kSlownessStep || stated * kSlownessStep < known) {
+  const bool is_news =
+      stated > known * kSlownessStep || stated * kSlownessStep < known;
+  if (is_news) {
     known = stated;
     ++version_;
   }
+  return is_news;
 }
 
 void EndpointDirectory::OnSuccess(std::string_view id) {
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -27,10 +27,21 @@
 constexpr std::uint32_t kLayersPerHelper = 4;
 /// A card in use with less than this share of the planned room gets help.
 constexpr double kCrampedShare = 0.5;
+/// A card that takes this many times as long as its kind is not given layers as
+/// long as there are others, and its own are given to others: a chain is as
+/// fast as the sum of its stages, and most of that is then this one.
+constexpr double kDegraded = 2;
+/// Others take over from a degraded card when they need at most this share of
+/// its time; less would not be worth their loads.
+constexpr double kWorthMoving = 0.5;
 /// A card that holds less than this share of what it could is filled up when
 /// nothing else is to be done.
 constexpr double kFilled = 0.7;
 
+bool IsDegraded(const Card& card) {
+  return sycamoreford::IsDegraded(card.slowness);
+}
+
 /// Most layers that a card holds beside room for `room` tokens.
 std::uint32_t MostLayers(const EngineProfile& profile,
                          const Card& card,
@@ -105,8 +116,8 @@
 }
 
 /// Cards that hold nothing, and then those whose layers others hold as well,
-/// slowest first: the fast ones carry the chains. Cards that are taken away
-/// together leave every layer held.
+/// slowest first: the fast ones carry the chains. Degraded cards come last.
+/// Cards that are taken away together leave every layer held.
 std::vector<Card*> FindSpare(const EngineProfile& profile,
                              std::vector<Card>& cards,
                              const std::set<std::string>& in_use) {
@@ -131,6 +142,8 @@
     }
   }
   empty.insert(empty.end(), redundant.begin(), redundant.end());
+  std::stable_partition(empty.begin(), empty.end(),
+                        [](const Card* card) { return !IsDegraded(*card); });
   empty.resize(std::min(empty.size(), kMostHelpers));
   return empty;
 }
@@ -141,13 +154,16 @@
                                 LayerRange gap,
                                 double room,
                                 double repair_share,
-                                std::size_t most_helpers) {
+                                std::size_t most_helpers,
+                                bool with_degraded) {
   std::vector<Helper> below;
   std::vector<Helper> spare;
   std::vector<Helper> above;
   for (Card* card : FindSpare(profile, cards, in_use)) {
-    spare.push_back(
-        {card, MostLayers(profile, *card, room), 0, Helper::Side::kFree});
+    if (with_degraded || !IsDegraded(*card)) {
+      spare.push_back(
+          {card, MostLayers(profile, *card, room), 0, Helper::Side::kFree});
+    }
   }
   const auto is_spare = [&](const Card& card) {
     return std::any_of(spare.begin(), spare.end(), [&](const Helper& helper) {
@@ -157,7 +173,8 @@
   for (Card& card : cards) {
     const std::uint32_t held = card.layers.size();
     const std::uint32_t most = MostLayers(profile, card, room * repair_share);
-    if (card.is_loading || most <= held || held == 0 || is_spare(card)) {
+    if (card.is_loading || most <= held || held == 0 || is_spare(card) ||
+        (!with_degraded && IsDegraded(card))) {
       continue;
     }
     if (card.layers.end == gap.first) {
@@ -218,19 +235,27 @@
              std::vector<PlacementChange>& changes) {
   const std::size_t few =
       std::clamp<std::size_t>(gap.size() / kLayersPerHelper, 1, kMostHelpers);
-  for (const double share : kRepairShares) {
-    for (std::size_t helpers_at_most = few; helpers_at_most <= kMostHelpers;
-         ++helpers_at_most) {
-      auto helpers = FindHelpers(profile, cards, in_use, gap, room, share,
-                                 helpers_at_most);
-      std::uint32_t most = 0;
-      for (const Helper& helper : helpers) {
-        most += helper.most;
-      }
-      if (most >= gap.size()) {
-        Divide(gap.size(), helpers);
-        TakeShares(helpers, gap, changes);
-        return true;
+  const auto fill = [&](double share, std::size_t most_helpers,
+                        bool with_degraded) {
+    auto helpers = FindHelpers(profile, cards, in_use, gap, room, share,
+                               most_helpers, with_degraded);
+    std::uint32_t most = 0;
+    for (const Helper& helper : helpers) {
+      most += helper.most;
+    }
+    if (most < gap.size()) {
+      return false;
+    }
+    Divide(gap.size(), helpers);
+    TakeShares(helpers, gap, changes);
+    return true;
+  };
+  for (const bool with_degraded : {false, true}) {
+    for (const double share : kRepairShares) {
+      for (std::size_t helpers = few; helpers <= kMostHelpers; ++helpers) {
+        if (fill(share, helpers, with_degraded)) {
+          return true;
+        }
       }
     }
   }
@@ -239,6 +264,10 @@
 
 }  // namespace
 
+bool IsDegraded(double slowness) noexcept {
+  return slowness >= kDegraded;
+}
+
 double RoomTarget(const EngineProfile& profile,
                   const std::vector<Card>& cards) {
   double room = kSlotShare * profile.slots *
@@ -317,6 +346,52 @@
   return false;
 }
 
+/// Time that a card needs for a step of some layers, in steps of the whole
+/// model at a factor of 1.
+double StepOf(const EngineProfile& profile,
+              const Card& card,
+              std::uint32_t layers) {
+  return card.kind.step_factor * layers / profile.layers;
+}
+
+/// Gives the layers of a degraded card that chains use to cards that stand by,
+/// when these run them much faster.
+///
+/// Load answered: cards that turn slow for seconds; their chain is slow as a
+/// whole, holds its requests for longer and refuses others.
+///
+/// \returns whether there was such a card and others to replace it.
+bool Replace(const EngineProfile& profile,
+             std::vector<Card>& cards,
+             const std::set<std::string>& in_use,
+             double room,
+             std::vector<PlacementChange>& changes) {
+  const auto spare = FindSpare(profile, cards, in_use);
+  for (const Card& card : cards) {
+    if (!IsDegraded(card) || !in_use.contains(card.id)) {
+      continue;
+    }
+    std::vector<PlacementChange> pieces;
+    double time = 0;
+    std::uint32_t from = card.layers.first;
+    for (const Card* helper : spare) {
+      const std::uint32_t size =
+          std::min(MostLayers(profile, *helper, room), card.layers.end - from);
+      if (size > 0 && !IsDegraded(*helper)) {
+        pieces.push_back({helper->id, {from, from + size}});
+        time += StepOf(profile, *helper, size);
+        from += size;
+      }
+    }
+    if (from == card.layers.end &&
+        time <= kWorthMoving * StepOf(profile, card, card.layers.size())) {
+      changes.insert(changes.end(), pieces.begin(), pieces.end());
+      return true;
+    }
+  }
+  return false;
+}
+
 /// Widens one card that repairs have left with few layers.
 void Widen(const EngineProfile& profile,
            std::vector<Card>& cards,
@@ -405,7 +480,8 @@
     return changes;
   }
   FillEmpty(profile, cards, room, loads, changes);
-  if (is_calm && loads > 0 && !Relieve(profile, cards, used, room, changes)) {
+  if (is_calm && loads > 0 && !Replace(profile, cards, used, room, changes) &&
+      !Relieve(profile, cards, used, room, changes)) {
     Widen(profile, cards, used, room, changes);
   }
   return changes;
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -213,6 +213,8 @@
   };
   std::map<std::string, Card> cards;
   std::vector<LayerOrder> orders;
+  /// Orders to cards that are slower than the directory says.
+  int orders_of_unknown_pace = 0;
   FencingToken highest{};
   RelayState* state = nullptr;
 
@@ -228,6 +230,10 @@
                                               const LayerOrder& order) {
     Card& card = cards[address];
     orders.push_back(order);
+    const std::string ordered = address.substr(address.find(':') + 1);
+    if (card.report.slowness > state->directory().Find(ordered)->slowness) {
+      ++orders_of_unknown_pace;
+    }
     if (order.fencing < highest) {
       co_return OrderOutcome::kFenced;
     }
@@ -298,6 +304,21 @@
     REQUIRE(it.ChainCount() == 0);
   }
 
+  SECTION("a card is lost when all others have turned slow") {
+    it.context.run_for(milliseconds(2'200));
+    REQUIRE(it.ChainCount() == 1);
+    for (auto& [address, card] : it.endpoints.cards) {
+      card.report.slowness = 12;
+    }
+    it.endpoints.orders.clear();
+    it.state.directory().Remove("0", it.clock.Now(), Duration::zero());
+    it.context.run_for(milliseconds(1'700));
+    THEN("they are taken, but only once that is known") {
+      REQUIRE_FALSE(it.endpoints.orders.empty());
+      REQUIRE(it.endpoints.orders_of_unknown_pace == 0);
+    }
+  }
+
   SECTION("an endpoint that does not answer gets no order") {
     it.endpoints.cards["10.0.0.1:0"].is_silent = true;
     it.context.run_for(milliseconds(2'200));
@@ -338,6 +359,9 @@
     PeerMessage trouble;
     trouble.endpoint = "i-1";
     REQUIRE(PeerMessage::Parse(trouble.ToText())->endpoint == "i-1");
+    REQUIRE_FALSE(PeerMessage::Parse(trouble.ToText())->slowness.has_value());
+    trouble.slowness = 2.5;
+    REQUIRE(PeerMessage::Parse(trouble.ToText())->slowness == 2.5);
     PeerMessage used;
     used.service = "s";
     used.usage = {.requests = 7, .repeats = 2};
--- a/tests/placement_planner_test.cc
+++ b/tests/placement_planner_test.cc
@@ -166,6 +166,54 @@
     REQUIRE(FitsMemory(cards));
   }
 
+  SECTION("cards have turned slow") {
+    // Five large cards hold the model, and four more stand by.
+    std::vector<Card> cards;
+    for (std::uint32_t i = 0; i < 5; ++i) {
+      cards.push_back(
+          SampleCard("a" + std::to_string(i), "large", {i * 16, (i + 1) * 16}));
+    }
+    for (std::uint32_t i = 0; i < 4; ++i) {
+      cards.push_back(
+          SampleCard("b" + std::to_string(i), "medium", {i * 8, i * 8 + 8}));
+    }
+    std::vector<std::string> used = {"a0", "a1", "a2", "a3", "a4"};
+    const auto slow_down = [](Card& card) {
+      card.slowness = 12;
+      card.kind.step_factor *= 12;
+      card.kind.read_factor *= 12;
+    };
+
+    SECTION("one that a chain uses is replaced by those that stand by") {
+      slow_down(cards[4]);
+      Apply(cards, PlanPlacement(SampleEngine(), cards, used, kLoads));
+      REQUIRE(FitsMemory(cards));
+      const auto chains = BuildChains(SampleEngine(), cards);
+      REQUIRE_FALSE(chains.empty());
+      REQUIRE_FALSE(chains.front().Uses("a4"));
+    }
+    SECTION("one that stands by does not fill a gap when others can") {
+      slow_down(cards[5]);
+      cards.erase(cards.begin());
+      used.erase(used.begin());
+      cards[4].layers = {40, 48};
+      const auto changes = PlanPlacement(SampleEngine(), cards, used, kLoads);
+      REQUIRE_FALSE(changes.empty());
+      REQUIRE(std::none_of(
+          changes.begin(), changes.end(),
+          [](const PlacementChange& it) { return it.card == "b0"; }));
+    }
+    SECTION("they fill a gap when all are slow") {
+      for (Card& card : cards) {
+        slow_down(card);
+      }
+      cards.erase(cards.begin());
+      cards[4].layers = {40, 48};
+      Apply(cards, PlanPlacement(SampleEngine(), cards, used, kLoads));
+      REQUIRE(Uncovered(cards) == 0);
+    }
+  }
+
   SECTION("too little memory for the model") {
     std::vector<Card> cards = {SampleCard("a1", "large"),
                                SampleCard("c1", "small")};
