--- a/model/day_result.cc
+++ b/model/day_result.cc
@@ -89,6 +89,7 @@
   result.broken = broken / count;
   result.payoff = day.share();
   std::vector<double> shares;
+  shares.reserve(windows.size());
   for (const auto& [number, account] : windows) {
     shares.push_back(account.share());
   }
--- a/model/fleet_model.cc
+++ b/model/fleet_model.cc
@@ -28,7 +28,7 @@
         const std::string id = card.id;
         endpoints_[id] = std::make_unique<ModelEndpoint>(
             std::move(card), scenario.engine, scenario.costs, queue,
-            [this](std::vector<WorkItem> pass) { OnPass(std::move(pass)); });
+            [this](const std::vector<WorkItem>& pass) { OnPass(pass); });
       }
     }
   }
@@ -126,7 +126,7 @@
       {stream, 0, stream->epoch, stream->to_read});
 }
 
-void FleetModel::OnPass(std::vector<WorkItem> pass) {
+void FleetModel::OnPass(const std::vector<WorkItem>& pass) {
   for (const WorkItem& item : pass) {
     const StreamPtr& stream = item.stream;
     const std::string& at = stream->stages[item.stage].endpoint->card().id;
--- a/model/fleet_model.h
+++ b/model/fleet_model.h
@@ -96,7 +96,7 @@
     std::deque<StreamPtr> waiting;
   };
 
-  void OnPass(std::vector<WorkItem> pass);
+  void OnPass(const std::vector<WorkItem>& pass);
   void OnRead(const WorkItem& item);
   void OnWritten(const StreamPtr& stream);
   void Emit(const StreamPtr& stream, std::uint32_t tokens);
--- a/model/model_endpoint.cc
+++ b/model/model_endpoint.cc
@@ -12,11 +12,12 @@
 
 }  // namespace
 
-ModelEndpoint::ModelEndpoint(Card card,
-                             const EngineProfile& profile,
-                             const EngineCosts& costs,
-                             EventQueue& queue,
-                             std::function<void(std::vector<WorkItem>)> on_pass)
+ModelEndpoint::ModelEndpoint(
+    Card card,
+    const EngineProfile& profile,
+    const EngineCosts& costs,
+    EventQueue& queue,
+    std::function<void(const std::vector<WorkItem>&)> on_pass)
     : card_(std::move(card)),
       profile_(profile),
       costs_(costs),
@@ -96,11 +97,11 @@
     return;
   }
   const Duration time = TimeOf(pass);
-  queue_.After(time, [this, run = run_, pass = std::move(pass)]() mutable {
+  queue_.After(time, [this, run = run_, pass = std::move(pass)] {
     if (run != run_) {
       return;
     }
-    on_pass_(std::move(pass));
+    on_pass_(pass);
     if (run == run_) {
       Begin();
     }
--- a/model/model_endpoint.h
+++ b/model/model_endpoint.h
@@ -34,7 +34,7 @@
                 const EngineProfile& profile,
                 const EngineCosts& costs,
                 EventQueue& queue,
-                std::function<void(std::vector<WorkItem>)> on_pass);
+                std::function<void(const std::vector<WorkItem>&)> on_pass);
 
   ModelEndpoint(const ModelEndpoint&) = delete;
   ModelEndpoint& operator=(const ModelEndpoint&) = delete;
@@ -85,7 +85,7 @@
   const EngineProfile& profile_;
   const EngineCosts& costs_;
   EventQueue& queue_;
-  std::function<void(std::vector<WorkItem>)> on_pass_;
+  std::function<void(const std::vector<WorkItem>&)> on_pass_;
   LayerRange ordered_;
   bool is_alive_ = true;
   bool is_busy_ = false;
--- a/model/placement_policies.cc
+++ b/model/placement_policies.cc
@@ -43,6 +43,7 @@
 
 std::vector<const Card*> ByMemory(const std::vector<Card>& cards) {
   std::vector<const Card*> sorted;
+  sorted.reserve(cards.size());
   for (const Card& card : cards) {
     sorted.push_back(&card);
   }
