Remove twins and repeated work found on reading the whole change

Cause: a last reading of the change as a whole. Nothing was failing; behaviour is meant to stay as it is.

- The two loops of RelayHandler noted an unanswered send in the same switch: NoteUnanswered.
- RelayHandler and the model drew the time to come back by the same lines: relay::DrawComeBack.
PlacementService and the model collected the cards in use: CardsInUse.
- PeerService started a coroutine for each datagram only to find the revision known; it asks first.
EndpointInspector looks at endpoints in one way.
- FleetFollower's state_position_ was the listing's position.
- Model: usual tokens and the means over the kinds of request are written once, the choice of a kind is built once instead of for each request, and a pass is walked once.
FleetModel::BeginLoad, which is not about loads of weights, is BeginTraffic.

Left: PlacementService plans every 100 ms also when nothing changed. Its inputs include times (orders that lapse, suspicions that end), so that skipping rounds would change behaviour.

--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -29,10 +29,10 @@
   /// Watches the chains and the suspected endpoints; does not return.
   boost::asio::awaitable<void> Watch() {
     const auto executor = co_await boost::asio::this_coro::executor;
-    state_.SetInspector([this, executor](std::string id) {
-      boost::asio::co_spawn(executor, Inspect(std::move(id)),
-                            boost::asio::detached);
-    });
+    const auto look = [this, executor](const std::string& id) {
+      boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+    };
+    state_.SetInspector(look);
     for (;;) {
       co_await Pause(kInterval);
       const TimePoint now = clock_.Now();
@@ -40,19 +40,19 @@
         // The first endpoint knows of stalls a little later only; a stage that
         // is dead doesn't answer at once.
         for (const std::string& id : state_.StagesBehind(first)) {
-          boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+          look(id);
         }
       }
       for (const auto& [id, known] : state_.directory().endpoints()) {
         if (known.slowness > 1 && now >= pace_at_[id]) {
           // Nothing else would show that it is fast again.
           pace_at_[id] = now + kPaceAgain * state_.thinning();
-          boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+          look(id);
         }
         const bool ends_soon = known.suspected_until > now &&
                                known.suspected_until - now < kLookAhead;
         if (ends_soon && !inspected_.contains(id)) {
-          boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+          look(id);
         }
       }
     }
--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -81,9 +81,9 @@
         co_await Pause(kStaleRetry);
         continue;
       }
+      newest = std::max(newest, listing->position);
       Apply(std::move(*listing), !position, connection);
-      position = std::max(newest, state_position_);
-      newest = *position;
+      position = newest;
       co_await Pause(std::min(kGather * state_.thinning(), kMostGather));
     }
   }
@@ -124,6 +124,14 @@
 
   /// Whether the list of endpoints is known, by the store or by a peer.
   [[nodiscard]] bool has_endpoints() const noexcept { return has_endpoints_; }
+  /// Whether requests can be served: a configuration is known as well.
+  [[nodiscard]] bool IsComplete() const noexcept {
+    return has_endpoints_ && state_.manifest() != nullptr;
+  }
+  /// Whether a configuration of at least this revision is in force.
+  [[nodiscard]] bool Knows(std::uint64_t revision) const {
+    return state_.manifest() && state_.manifest()->revision() >= revision;
+  }
 
   /// Drops endpoints whose entries did not come back, and has the endpoints
   /// asked for their layers while the store is away; call it often.
@@ -175,10 +183,6 @@
   /// of its return.
   static constexpr std::chrono::milliseconds kLapseGrace{2'200};
 
-  [[nodiscard]] bool Knows(std::uint64_t revision) const {
-    return state_.manifest() && state_.manifest()->revision() >= revision;
-  }
-
   boost::asio::awaitable<Result<ManifestListing>> NextManifest(
       std::optional<std::uint64_t> position) {
     if (position) {
@@ -247,7 +251,6 @@
     const std::uint64_t before = directory.version();
     const std::size_t changes =
         listing.endpoints.size() + listing.removed.size();
-    state_position_ = listing.position;
     if (is_whole) {
       directory.Replace(std::move(listing.endpoints), now, grace);
     } else {
@@ -263,7 +266,7 @@
       LogEvent(Severity::kInfo, "endpoints_changed")
           .With("changes", changes)
           .With("known", directory.endpoints().size())
-          .With("position", state_position_)
+          .With("position", listing.position)
           .With("whole", is_whole ? "yes" : "no");
     }
   }
@@ -271,7 +274,6 @@
   RelayState& state_;
   Store& store_;
   const TheClock& clock_;
-  std::uint64_t state_position_ = 0;
   bool has_endpoints_ = false;
   /// Since when the list can't be read.
   std::optional<TimePoint> away_since_;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -93,9 +93,9 @@
   /// \param seeds addresses at which others answer `Answer`.
   boost::asio::awaitable<void> AskUntilKnown(std::vector<std::string> seeds) {
     co_await Pause(kStoreFirst);
-    while (!IsKnown()) {
+    while (!follower_.IsComplete()) {
       for (const std::string& seed : seeds) {
-        if (!IsKnown()) {
+        if (!follower_.IsComplete()) {
           co_await Ask(seed);
         }
       }
@@ -129,10 +129,6 @@
   static constexpr std::size_t kStateLimit = 8UL * 1024 * 1024;
   static constexpr const char* kStatePath = "/state";
 
-  [[nodiscard]] bool IsKnown() const {
-    return state_.manifest() != nullptr && follower_.has_endpoints();
-  }
-
   void OnMessage(const PeerMessage& message, const std::string& from) {
     if (message.slowness) {
       // Not told on: whoever asked the endpoint has told all.
@@ -144,8 +140,10 @@
       return;
     }
     state_.Retries(message.service).OnTold(from, message.usage, clock_.Now());
-    boost::asio::co_spawn(context_, follower_.CatchUp(message.revision),
-                          boost::asio::detached);
+    if (!follower_.Knows(message.revision)) {
+      boost::asio::co_spawn(context_, follower_.CatchUp(message.revision),
+                            boost::asio::detached);
+    }
   }
 
   boost::asio::awaitable<void> Ask(std::string address) {
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -141,12 +141,7 @@
       return known->record.is_leaving || known->dropped_at.has_value() ||
              lost_.contains(card.id);
     });
-    std::vector<std::string> in_use;
-    for (const ServingChain& chain : state_.Chains(service, now).chains()) {
-      for (const ChainStage& stage : chain.stages) {
-        in_use.push_back(stage.endpoint.value());
-      }
-    }
+    const auto in_use = CardsInUse(state_.Chains(service, now).chains());
     for (PlacementChange& change :
          rounds_.Next(*service.engine, std::move(cards), in_use, now)) {
       boost::asio::co_spawn(executor, Order(std::move(change)),
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -33,6 +33,7 @@
 inline constexpr int kMostConnectFailures = 3;
 /// Largest answer of a plain service that is kept whole before it is passed on.
 inline constexpr std::size_t kAnswerLimit = 16UL * 1024 * 1024;
+
 /// One request on its way.
 struct Passage {
   RelayRequest request;
@@ -169,16 +170,8 @@
   }
 
   /// Time since the request arrived.
-  [[nodiscard]] std::chrono::milliseconds Elapsed(
-      const Passage& passage) const {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        clock_.Now() - passage.arrived);
-  }
-
-  std::chrono::milliseconds ComeBack() {
-    std::uniform_int_distribution<std::int64_t> spread(
-        relay::kComeBackLeast.count(), relay::kComeBackMost.count());
-    return std::chrono::milliseconds(spread(random_));
+  [[nodiscard]] Duration Elapsed(const Passage& passage) const {
+    return clock_.Now() - passage.arrived;
   }
 
   boost::asio::awaitable<void> Refuse(HttpExchange& exchange,
@@ -192,14 +185,14 @@
         .With("sends", passage.sends)
         .With("after_ms", Elapsed(passage));
     Ended(passage, ToString(refusal));
-    co_await exchange.Respond(Dialect::Refuse(refusal, ComeBack()));
+    co_await exchange.Respond(
+        Dialect::Refuse(refusal, relay::DrawComeBack(random_)));
   }
 
   void Ended(const Passage& passage, std::string_view outcome) {
     state_.metrics().OnEnded(
         passage.service == nullptr ? "" : passage.service->name,
-        passage.customer, outcome, clock_.Now() - passage.arrived,
-        passage.sends);
+        passage.customer, outcome, Elapsed(passage), passage.sends);
   }
 
   /// The final answer to a request that no endpoint answered.
@@ -226,6 +219,18 @@
            state_.Retries(passage.service->name).TryTake(now, state_.daemons());
   }
 
+  /// Notes a send after which the caller has no whole answer.
+  static void NoteUnanswered(Passage& passage,
+                             Sent sent,
+                             const std::string& endpoint) {
+    if (sent == Sent::kNotSent) {
+      ++passage.connect_failures;
+      return;
+    }
+    passage.tried.insert(endpoint);
+    passage.may_have_run = passage.may_have_run || sent == Sent::kLost;
+  }
+
   /// Ends the handler by an exception when the caller has gone: an exchange
   /// that was cancelled looks like a failure of the endpoint.
   static boost::asio::awaitable<void> ThrowIfGone() {
@@ -253,20 +258,10 @@
       const EndpointRecord record = endpoint->record;
       const Sent sent =
           co_await SendToEndpoint(exchange, passage, record, failed_answer);
-      switch (sent) {
-        case Sent::kDone:
-          co_return;
-        case Sent::kNotSent:
-          ++passage.connect_failures;
-          continue;
-        case Sent::kNotRun:
-          passage.tried.insert(record.id);
-          continue;
-        case Sent::kLost:
-          passage.may_have_run = true;
-          passage.tried.insert(record.id);
-          continue;
+      if (sent == Sent::kDone) {
+        co_return;
       }
+      NoteUnanswered(passage, sent, record.id);
     }
     if (failed_answer) {
       Ended(passage, "endpoint_failed");
@@ -415,20 +410,12 @@
       const Chain stages = chain->stages;
       const Sent sent =
           co_await SendAlong(exchange, passage, stages, tokens, progress);
-      switch (sent) {
-        case Sent::kDone:
-          co_return;
-        case Sent::kNotSent:
-          ++passage.connect_failures;
-          continue;
-        case Sent::kNotRun:
-          passage.tried.insert(stages.front().endpoint.value());
-          continue;
-        case Sent::kLost:
-          passage.may_have_run = true;
-          passage.tried.insert(stages.front().endpoint.value());
-          progress.events.Restart();
-          continue;
+      if (sent == Sent::kDone) {
+        co_return;
+      }
+      NoteUnanswered(passage, sent, stages.front().endpoint.value());
+      if (sent == Sent::kLost) {
+        progress.events.Restart();
       }
     }
     if (!progress.has_begun) {
@@ -662,21 +649,15 @@
     if (passage.sends <= 1 && ++answered_ % kSample != 0) {
       return;
     }
-    const TimePoint now = clock_.Now();
     LogEvent(Severity::kInfo, "answered")
         .With("request", passage.request.id)
         .With("endpoint", endpoint)
         .With("events", progress.events.events())
         .With("sends", passage.sends)
         .With("revision", passage.manifest->revision())
-        .With("first_event_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  progress.first_event - passage.arrived))
-        .With("longest_pause_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  progress.longest_pause))
-        .With("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              now - passage.arrived));
+        .With("first_event_ms", progress.first_event - passage.arrived)
+        .With("longest_pause_ms", progress.longest_pause)
+        .With("after_ms", Elapsed(passage));
   }
 
   void LogLost(const Passage& passage,
--- a/include/sycamoreford/core/log.h
+++ b/include/sycamoreford/core/log.h
@@ -35,7 +35,8 @@
     return With(key, std::string_view(std::to_string(value)));
   }
   /// Adds a length of time, in milliseconds.
-  LogEvent& With(std::string_view key, std::chrono::milliseconds value);
+  /// Adds a time in whole milliseconds.
+  LogEvent& With(std::string_view key, std::chrono::nanoseconds value);
 
  private:
   Severity severity_;
--- a/include/sycamoreford/placement/chain_builder.h
+++ b/include/sycamoreford/placement/chain_builder.h
@@ -21,6 +21,10 @@
   [[nodiscard]] bool Uses(const std::string& endpoint) const noexcept;
 };
 
+/// Ids of the cards that chains use.
+[[nodiscard]] std::vector<std::string> CardsInUse(
+    const std::vector<ServingChain>& chains);
+
 /// Layers that no card holds and has loaded, as ranges in order.
 [[nodiscard]] std::vector<LayerRange> MissingLayers(
     const EngineProfile& profile,
--- a/include/sycamoreford/relay/send_limits.h
+++ b/include/sycamoreford/relay/send_limits.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <random>
 
 namespace sycamoreford::relay {
 
@@ -11,6 +12,14 @@
 /// are repaired; spread, so that they do not return together.
 inline constexpr std::chrono::milliseconds kComeBackLeast{300};
 inline constexpr std::chrono::milliseconds kComeBackMost{1'500};
+/// Draws when a refused caller may come back.
+template <class Random>
+[[nodiscard]] std::chrono::milliseconds DrawComeBack(Random& random) {
+  std::uniform_int_distribution<std::int64_t> spread(kComeBackLeast.count(),
+                                                     kComeBackMost.count());
+  return std::chrono::milliseconds(spread(random));
+}
+
 /// With less time left a request is not sent any more: no endpoint could answer
 /// it.
 inline constexpr std::chrono::milliseconds kLeastTimeLeft{20};
--- a/model/draw_scenario.cc
+++ b/model/draw_scenario.cc
@@ -107,9 +107,7 @@
     scenario.faults.push_back(DrawFault(random, scenario.length));
   }
   scenario.retries = {.ratio = 0.2, .extra = load * 2};
-  scenario.engine.usual_answer_tokens = scenario.mean_answer_tokens();
-  scenario.engine.usual_prompt_tokens =
-      scenario.mean_tokens() - scenario.mean_answer_tokens();
+  scenario.SetUsualTokens();
   return scenario;
 }
 
--- a/model/fleet_model.cc
+++ b/model/fleet_model.cc
@@ -297,14 +297,14 @@
   }
   const std::uint32_t added = endpoint.BeginLoad(layers);
   ++loading_;
-  loads_ += has_load_ && added > 0 ? 1 : 0;
+  loads_ += has_traffic_ && added > 0 ? 1 : 0;
   const double crowd =
       std::max(1.0, static_cast<double>(loading_) /
                         std::max(1U, scenario_.costs.loads_at_once));
   const auto time = std::chrono::duration_cast<Duration>(
       scenario_.engine.load *
       (static_cast<double>(added) / scenario_.engine.layers * crowd *
-       endpoint.slowness() * (has_load_ ? 1 : kEarlyLoad)));
+       endpoint.slowness() * (has_traffic_ ? 1 : kEarlyLoad)));
   queue_.After(time, [this, &endpoint, run = endpoint.run(),
                       on_loaded = std::move(on_loaded)] {
     --loading_;
--- a/model/fleet_model.h
+++ b/model/fleet_model.h
@@ -66,8 +66,8 @@
              LayerRange layers,
              std::function<void()> on_loaded);
 
-  /// The load begins: loads take their whole time from here on.
-  void BeginLoad() { has_load_ = true; }
+  /// Requests come from now on, and loads take their whole time.
+  void BeginTraffic() { has_traffic_ = true; }
 
   void Crash(const std::string& endpoint);
   void Restart(const std::string& endpoint);
@@ -79,7 +79,7 @@
     return endpoints_;
   }
   [[nodiscard]] StatedLoad LoadOf(const std::string& first) const;
-  /// Loads begun since `BeginLoad`, and streams preempted.
+  /// Loads begun since `BeginTraffic`, and streams preempted.
   [[nodiscard]] std::uint32_t loads() const noexcept { return loads_; }
   [[nodiscard]] std::uint32_t preemptions() const noexcept {
     return preemptions_;
@@ -129,7 +129,7 @@
   std::uint32_t loads_ = 0;
   std::uint32_t preemptions_ = 0;
   std::uint32_t overfilled_ = 0;
-  bool has_load_ = false;
+  bool has_traffic_ = false;
 };
 
 }  // namespace sycamoreford::model
--- a/model/model_endpoint.cc
+++ b/model/model_endpoint.cc
@@ -111,6 +111,7 @@
 Duration ModelEndpoint::TimeOf(const std::vector<WorkItem>& pass) const {
   constexpr double kThousand = 1e3;
   constexpr double kMillion = 1e6;
+  double widest = 0;
   double step = 0;
   double reading = 0;
   bool has_writers = false;
@@ -118,6 +119,7 @@
     const ModelStream::Stage& stage = item.stream->stages[item.stage];
     const double share =
         static_cast<double>(stage.layers.size()) / profile_.layers;
+    widest = std::max(widest, share);
     if (item.read_tokens == 0) {
       has_writers = true;
       step += share * (costs_.per_writer.count() +
@@ -130,13 +132,6 @@
     reading += share * (item.read_tokens / costs_.read_per_second * kThousand +
                         costs_.per_million_pairs.count() * pairs / kMillion);
   }
-  double widest = 0;
-  for (const WorkItem& item : pass) {
-    widest = std::max(
-        widest,
-        static_cast<double>(item.stream->stages[item.stage].layers.size()) /
-            profile_.layers);
-  }
   step += widest * profile_.step.count();
   const double steps = has_writers ? costs_.stride : 1;
   const double milliseconds =
--- a/model/router_model.h
+++ b/model/router_model.h
@@ -61,6 +61,12 @@
     for (const auto& [id, endpoint] : fleet_.endpoints()) {
       views_[id] = {.card = endpoint->card()};
     }
+    std::vector<double> shares;
+    for (const RequestKind& kind : scenario.requests) {
+      shares.push_back(kind.share);
+    }
+    draw_kind_ =
+        std::discrete_distribution<std::size_t>(shares.begin(), shares.end());
     fleet_.SetWatcher(
         {.on_event = [this](const StreamPtr& it) { OnEvent(it); },
          .on_done = [this](const StreamPtr& it) { OnDone(it); },
@@ -75,7 +81,7 @@
     queue_.After(delays_.telling, [this] { TellRetries(); });
     queue_.RunUntil(TimePoint{} + scenario_.lead);
     start_ = queue_.Now();
-    fleet_.BeginLoad();
+    fleet_.BeginTraffic();
     for (const DataCentreSpec& data_centre : scenario_.data_centres) {
       NextArrival(data_centre);
     }
@@ -154,15 +160,9 @@
   }
 
   void Arrive(const DataCentreSpec& data_centre) {
-    std::vector<double> shares;
-    for (const RequestKind& kind : scenario_.requests) {
-      shares.push_back(kind.share);
-    }
-    std::discrete_distribution<std::size_t> draw_kind(shares.begin(),
-                                                      shares.end());
     requests_.emplace_back();
     Request& request = requests_.back();
-    request.record.kind = draw_kind(random_);
+    request.record.kind = draw_kind_(random_);
     const RequestKind& kind = KindOf(request);
     request.record.prompt_tokens = Draw(kind.prompt);
     request.record.answer_tokens = Draw(kind.answer);
@@ -265,9 +265,7 @@
       return;
     }
     ++request.returns;
-    std::uniform_int_distribution<std::int64_t> spread(
-        relay::kComeBackLeast.count(), relay::kComeBackMost.count());
-    queue_.After(std::chrono::milliseconds(spread(random_)), [this, index] {
+    queue_.After(relay::DrawComeBack(random_), [this, index] {
       Request& it = requests_[index];
       if (!it.is_over) {
         it.sends = 0;
@@ -396,14 +394,9 @@
         cards.push_back(view.card);
       }
     }
-    std::vector<std::string> in_use;
-    for (const ServingChain& chain : chains_) {
-      for (const ChainStage& stage : chain.stages) {
-        in_use.push_back(stage.endpoint.value());
-      }
-    }
-    for (const PlacementChange& change : placement_.Next(
-             scenario_.engine, std::move(cards), in_use, queue_.Now())) {
+    for (const PlacementChange& change :
+         placement_.Next(scenario_.engine, std::move(cards),
+                         CardsInUse(chains_), queue_.Now())) {
       Order(change);
     }
     double taken = 0;
@@ -551,6 +544,7 @@
   FleetModel fleet_;
   Placement placement_;
   std::mt19937_64 random_;
+  std::discrete_distribution<std::size_t> draw_kind_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   std::map<std::string, std::vector<std::size_t>> daemons_of_;
   std::map<std::string, View> views_;
--- a/model/scenario.cc
+++ b/model/scenario.cc
@@ -227,12 +227,22 @@
   scenario.retries.ratio = retries.Number("ratio", scenario.retries.ratio);
   scenario.retries.extra = retries.Number("extra", scenario.retries.extra);
   scenario.retries.window = retries.Ms("window_ms", scenario.retries.window);
-  scenario.engine.usual_answer_tokens = scenario.mean_answer_tokens();
-  scenario.engine.usual_prompt_tokens =
-      scenario.mean_tokens() - scenario.mean_answer_tokens();
+  scenario.SetUsualTokens();
   return scenario;
 }
 
+/// Mean of a value over the kinds of request, by their shares.
+template <class Value>
+double MeanOver(const std::vector<RequestKind>& kinds, Value value) {
+  double sum = 0;
+  double shares = 0;
+  for (const RequestKind& kind : kinds) {
+    sum += kind.share * value(kind);
+    shares += kind.share;
+  }
+  return shares > 0 ? sum / shares : 0;
+}
+
 }  // namespace
 
 double Scenario::requests_per_second() const noexcept {
@@ -243,23 +253,19 @@
 }
 
 double Scenario::mean_tokens() const noexcept {
-  double sum = 0;
-  double shares = 0;
-  for (const RequestKind& kind : requests) {
-    sum += kind.share * (kind.prompt.mean + kind.answer.mean);
-    shares += kind.share;
-  }
-  return shares > 0 ? sum / shares : 0;
+  return MeanOver(requests, [](const RequestKind& kind) {
+    return kind.prompt.mean + kind.answer.mean;
+  });
 }
 
 double Scenario::mean_answer_tokens() const noexcept {
-  double sum = 0;
-  double shares = 0;
-  for (const RequestKind& kind : requests) {
-    sum += kind.share * kind.answer.mean;
-    shares += kind.share;
-  }
-  return shares > 0 ? sum / shares : 0;
+  return MeanOver(requests,
+                  [](const RequestKind& kind) { return kind.answer.mean; });
+}
+
+void Scenario::SetUsualTokens() noexcept {
+  engine.usual_answer_tokens = mean_answer_tokens();
+  engine.usual_prompt_tokens = mean_tokens() - mean_answer_tokens();
 }
 
 Result<Scenario> Scenario::Parse(std::string_view text) {
--- a/model/scenario.h
+++ b/model/scenario.h
@@ -89,6 +89,8 @@
   /// Mean tokens of prompt and answer over all kinds of request.
   [[nodiscard]] double mean_tokens() const noexcept;
   [[nodiscard]] double mean_answer_tokens() const noexcept;
+  /// Sets the engine's usual tokens to those of the kinds of request.
+  void SetUsualTokens() noexcept;
 
   /// Reads JSON with comments; fields that are absent keep their defaults.
   ///
--- a/src/adapters/caller_front.cc
+++ b/src/adapters/caller_front.cc
@@ -178,8 +178,7 @@
         .With("outcome", ToString(served.error().outcome))
         .With("where", served.error().where);
   }
-  event.With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                       now - caller.received));
+  event.With("ms", now - caller.received);
 }
 
 asio::awaitable<Result<void>> CallerFront::Serve(HttpExchange& exchange,
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -195,8 +195,7 @@
   LogEvent line(Severity::kInfo, event);
   line.With("state", ToString(drain.state())).With("active", callers.active());
   if (drain.state() != DrainState::kExited) {
-    line.With("bound_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              drain.bound() - entry.clock.Now()));
+    line.With("bound_ms", drain.bound() - entry.clock.Now());
   }
 }
 
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -218,8 +218,7 @@
   LogEvent(Severity::kWarning, "endpoint_suspected")
       .With("endpoint", id)
       .With("reason", reason)
-      .With("for_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(time))
+      .With("for_ms", time)
       .With("requests_moved", aborted);
 }
 
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -76,9 +76,10 @@
   return *this;
 }
 
-LogEvent& LogEvent::With(std::string_view key,
-                         std::chrono::milliseconds value) {
-  return With(key, value.count());
+LogEvent& LogEvent::With(std::string_view key, std::chrono::nanoseconds value) {
+  return With(
+      key,
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
 LogEvent::~LogEvent() {
--- a/src/placement/chain_builder.cc
+++ b/src/placement/chain_builder.cc
@@ -159,6 +159,16 @@
                      });
 }
 
+std::vector<std::string> CardsInUse(const std::vector<ServingChain>& chains) {
+  std::vector<std::string> ids;
+  for (const ServingChain& chain : chains) {
+    for (const ChainStage& stage : chain.stages) {
+      ids.push_back(stage.endpoint.value());
+    }
+  }
+  return ids;
+}
+
 std::vector<LayerRange> MissingLayers(const EngineProfile& profile,
                                       const std::vector<Card>& cards) {
   std::vector<LayerRange> missing;
