Log why a broken stream was not sent again

A stream that ends without its last chunk was logged with the number of sends only. Whether the retry budget, the chains, the time or the route kept it from going on elsewhere could not be told from the logs, nor, therefore, whether a chain was at fault or the router. stream_broken now carries not_resent; no decision changes.

--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <xxhash.h>
@@ -51,6 +52,8 @@
   int connect_failures = 0;
   /// Whether an endpoint may have run the request.
   bool may_have_run = false;
+  /// Why the request was not sent again, for the log.
+  std::string_view last_denial;
   std::set<std::string> tried_endpoints;
 
   [[nodiscard]] std::chrono::milliseconds TimeLeft(TimePoint now) const {
@@ -215,17 +218,21 @@
   /// a retry from the retry budget.
   bool TryAcquireSend(RequestContext& context) {
     const TimePoint now = clock_.Now();
-    if (context.connect_failures >= relay::kMaxConnectFailures ||
-        context.sends >= relay::kMaxSends ||
-        context.TimeLeft(now) < relay::kMinTimeLeft) {
-      return false;
-    }
-    if (context.sends == 0) {
-      return true;
-    }
-    return (!context.may_have_run || context.MayRunAgain()) &&
-           state_.RetryBudgetFor(context.service->name)
-               .TryAcquire(now, state_.daemon_count());
+    context.last_denial = "";
+    if (context.connect_failures >= relay::kMaxConnectFailures) {
+      context.last_denial = "no_connection";
+    } else if (context.sends >= relay::kMaxSends) {
+      context.last_denial = "max_sends";
+    } else if (context.TimeLeft(now) < relay::kMinTimeLeft) {
+      context.last_denial = "no_time_left";
+    } else if (context.may_have_run && !context.MayRunAgain()) {
+      context.last_denial = "runs_at_most_once";
+    } else if (context.sends > 0 &&
+               !state_.RetryBudgetFor(context.service->name)
+                    .TryAcquire(now, state_.daemon_count())) {
+      context.last_denial = "retry_budget";
+    }
+    return context.last_denial.empty();
   }
 
   /// Records a send after which the caller has no complete response.
@@ -419,6 +426,7 @@
               .Pick(tokens, state_.daemon_count(), context.tried_endpoints,
                     only_tried, clock_.Now());
       if (chain == nullptr) {
+        context.last_denial = "no_chain";
         break;
       }
       const Chain stages = chain->stages;
@@ -443,6 +451,7 @@
         .With("request", context.request.id)
         .With("events", progress.splitter.event_count())
         .With("sends", context.sends)
+        .With("not_resent", context.last_denial)
         .With("after_ms", Elapsed(context));
   }
 
