Test what callers see of endpoints that are silent for a second

A sound endpoint may be silent for about a second and go on. Callers then saw

- a stream cut at the last event, without its end, when the endpoint was silent after the response head, and status 502 when it was silent before it: with the other chain refusing, resetting or not accepting, with no retry in the budget, with no other chain, and on routes with one endpoint;
- the same for each stream that runs at most once, though another chain was free;
- a stream cut that had moved to another chain which broke or fell silent, though the first endpoint went on;
- status 502 for an idempotent plain request that was silent for longer than the target latency before its head, when no other endpoint answered.

The scripted endpoint can fall silent on all its connections and refuse new ones.

--- a/tests/fakes/scripted_endpoint.cc
+++ b/tests/fakes/scripted_endpoint.cc
@@ -36,15 +36,24 @@
 EndpointStep WaitForClose() {
   return {EndpointStep::Kind::kWaitForClose};
 }
+EndpointStep FallSilent(std::chrono::milliseconds duration) {
+  return {EndpointStep::Kind::kFallSilent, {}, duration};
+}
 
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context& context)
     : context_(context),
-      acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+      acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      address_(impl::ToAddress(acceptor_.local_endpoint())) {
   asio::co_spawn(context_, Accept(), asio::detached);
 }
 
 std::string ScriptedEndpoint::address() const {
-  return impl::ToAddress(acceptor_.local_endpoint());
+  return address_;
+}
+
+void ScriptedEndpoint::StopListening() {
+  beast::error_code ignored;
+  acceptor_.close(ignored);
 }
 
 std::vector<HttpRequest> ScriptedEndpoint::requests() const {
@@ -97,6 +106,7 @@
   if (error) {
     co_return;
   }
+  co_await WaitWhileSilent();
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -109,12 +119,20 @@
   co_await RunScript(socket, script);
 }
 
+asio::awaitable<void> ScriptedEndpoint::WaitWhileSilent() {
+  while (std::chrono::steady_clock::now() < silent_until_) {
+    asio::steady_timer timer(context_, silent_until_);
+    co_await timer.async_wait(use_awaitable);
+  }
+}
+
 asio::awaitable<void> ScriptedEndpoint::RunScript(
     tcp::socket& socket,
     const EndpointScript& script) {
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
   for (const EndpointStep& step : script) {
+    co_await WaitWhileSilent();
     switch (step.kind) {
       case EndpointStep::Kind::kSend:
         co_await asio::async_write(socket, asio::buffer(step.bytes), token);
@@ -140,6 +158,9 @@
         ++closed_by_peer_count_;
         co_return;
       }
+      case EndpointStep::Kind::kFallSilent:
+        silent_until_ = std::chrono::steady_clock::now() + step.duration;
+        break;
     }
   }
 }
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -28,6 +28,8 @@
     kReset,
     /// Waits until the peer closes the connection.
     kWaitForClose,
+    /// Makes the whole endpoint silent for `duration`.
+    kFallSilent,
   };
   Kind kind = Kind::kSend;
   std::string bytes{};
@@ -41,6 +43,10 @@
 [[nodiscard]] EndpointStep Close();
 [[nodiscard]] EndpointStep Reset();
 [[nodiscard]] EndpointStep WaitForClose();
+/// The endpoint reads and sends nothing for `duration`, on all connections
+/// including those for `/report`, and then goes on. New connections are
+/// established by its operating system, as for a frozen process.
+[[nodiscard]] EndpointStep FallSilent(std::chrono::milliseconds duration);
 
 /// An endpoint that reads requests and responds according to a script, also
 /// with malformed bytes.
@@ -52,6 +58,9 @@
   /// Listens on a free port of the loopback interface.
   explicit ScriptedEndpoint(boost::asio::io_context& context);
 
+  /// Refuses all connections from now on.
+  void StopListening();
+
   /// Adds the script for the next request that has none yet. The last script is
   /// used for all further requests as well.
   void AddScript(EndpointScript script) {
@@ -78,12 +87,17 @@
  private:
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+  /// Completes when the endpoint is not silent.
+  boost::asio::awaitable<void> WaitWhileSilent();
   boost::asio::awaitable<void> RunScript(boost::asio::ip::tcp::socket& socket,
                                          const EndpointScript& script);
   EndpointScript NextScript(const HttpRequest& request);
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::string address_;
+  /// End of the silence; used by the thread of the context only.
+  std::chrono::steady_clock::time_point silent_until_{};
   std::deque<EndpointScript> scripts_;
   std::function<EndpointScript(const HttpRequest&)> responder_;
   mutable std::mutex mutex_;
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -75,6 +75,16 @@
     thread_ = std::thread([this] { context.run(); });
   }
 
+  /// Runs the inspector of stalled chains. Call before `Start`.
+  void WatchChains() {
+    boost::asio::co_spawn(context, inspector.Watch(), boost::asio::detached);
+  }
+
+  /// Removes an endpoint from the directory. Call before `Start`.
+  void Remove(const std::string& id) {
+    state.directory().Remove(id, clock.Now(), Duration::zero());
+  }
+
   /// Sends a request and reads until the connection is closed.
   ///
   /// \returns all bytes received.
