--- /dev/null
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -0,0 +1,244 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "sycamoreford/adapters/attempt_step.h"
+#include "sycamoreford/adapters/http_client.h"
+#include "sycamoreford/adapters/relay_state.h"
+#include "sycamoreford/relay/event_splitter.h"
+#include "sycamoreford/relay/relay_codec.h"
+#include "sycamoreford/relay/relay_request.h"
+
+namespace sycamoreford {
+
+/// Parameters of a `ChainAttempt`.
+struct ChainAttemptOptions {
+  std::string request_id;
+  /// The request, encoded for the first endpoint of the chain.
+  HttpRequest request;
+  Chain stages;
+  /// Expected size of the request and its response.
+  double tokens = 0;
+  TimePoint deadline{};
+  std::chrono::milliseconds connect_timeout{0};
+  /// Whether the response is expected to be a stream of events.
+  bool streams = false;
+  /// Position in the stream after which this attempt goes on.
+  EventSplitter position;
+};
+
+/// One send of a request to a chain and what arrives of its response. Counts as
+/// in flight on the chain, and is interrupted if a stage is suspected, until it
+/// is destroyed or abandoned.
+///
+/// Thread safety: none; runs on the thread of the `RelayState`.
+template <RelayCodec Codec, Clock TheClock>
+class ChainAttempt {
+ public:
+  /// Precondition: `state` and `clock` outlive this object, or it is abandoned
+  /// before they are destroyed.
+  ChainAttempt(RelayState& state,
+               const TheClock& clock,
+               const boost::asio::any_io_executor& executor,
+               const RelayService& service,
+               ChainAttemptOptions options)
+      : state_(state),
+        clock_(clock),
+        selector_(state.ChainSelectorFor(service, clock.Now())),
+        options_(std::move(options)),
+        call_(executor) {
+    registration_ = state_.AddAttempt({.request_id = options_.request_id,
+                                       .stages = options_.stages,
+                                       .call = &call_});
+    selector_.OnSent(options_.stages, options_.tokens);
+    state_.stall_detector().OnSent(first_endpoint(), clock_.Now());
+  }
+  ChainAttempt(const ChainAttempt&) = delete;
+  ChainAttempt& operator=(const ChainAttempt&) = delete;
+  ~ChainAttempt() { Leave(); }
+
+  /// Sends the request if that was not done yet, and waits for what comes next.
+  ///
+  /// Precondition: no step but `kStreamBegun`, `kEvents` and `kInterrupted` was
+  /// returned before.
+  boost::asio::awaitable<AttemptStep> Next() {
+    if (!is_started_) {
+      is_started_ = true;
+      const auto failure =
+          co_await call_.Send(options_.stages.front().address, options_.request,
+                              options_.connect_timeout, TimeLeft());
+      if (failure) {
+        co_return OnFailure(*failure);
+      }
+    }
+    if (!has_head_) {
+      const auto failure = co_await call_.ReadHead(TimeLeft());
+      if (failure) {
+        co_return OnFailure(*failure);
+      }
+      co_return OnHead();
+    }
+    for (;;) {
+      auto bytes = co_await call_.ReadSome(TimeLeft());
+      if (!bytes) {
+        co_return OnFailure(bytes.error());
+      }
+      OnProgress();
+      if (!bytes->has_value()) {
+        co_return OnStreamEnd();
+      }
+      events_ = options_.position.Feed(**bytes);
+      if (!events_.empty()) {
+        co_return AttemptStep::kEvents;
+      }
+    }
+  }
+
+  /// Ends the running or the next wait of `Next` with `kInterrupted`.
+  void Interrupt() noexcept { call_.Interrupt(); }
+
+  /// Discards an interruption that has not ended a wait yet.
+  void ClearInterrupt() noexcept { call_.ClearInterrupt(); }
+
+  /// Closes the connection and stops counting as in flight. A running call of
+  /// `Next` ends.
+  void Abandon() noexcept {
+    call_.Abort();
+    Leave();
+  }
+
+  /// Stops counting as load on the chain while a successor is tried; one of the
+  /// two ends soon.
+  void SuspendLoad() {
+    if (registration_ && counts_as_load_) {
+      counts_as_load_ = false;
+      selector_.OnEnded(options_.stages, options_.tokens);
+    }
+  }
+  /// Counts as load on the chain again.
+  void ResumeLoad() {
+    if (registration_ && !counts_as_load_) {
+      counts_as_load_ = true;
+      selector_.OnSent(options_.stages, options_.tokens);
+    }
+  }
+
+  /// Records the pause between two events.
+  void OnPause(Duration pause) {
+    state_.stall_detector().OnPause(first_endpoint(), pause);
+  }
+
+  /// Whether any part of the response has arrived since `time`.
+  [[nodiscard]] bool HasReceivedSince(TimePoint time) const noexcept {
+    return last_received_at_ && *last_received_at_ >= time;
+  }
+  /// Continues after the events that other attempts have delivered meanwhile.
+  void SkipTo(const EventSplitter& delivered) {
+    options_.position.SkipTo(delivered);
+  }
+
+  /// The complete events of the last step `kEvents`.
+  [[nodiscard]] std::string_view events() const noexcept { return events_; }
+  /// Position after the last complete event.
+  [[nodiscard]] const EventSplitter& position() const noexcept {
+    return options_.position;
+  }
+  /// Precondition: the head of the response has arrived.
+  [[nodiscard]] const ResponseHead& head() const noexcept { return head_; }
+  [[nodiscard]] const Chain& stages() const noexcept { return options_.stages; }
+  [[nodiscard]] const std::string& first_endpoint() const {
+    return options_.stages.front().endpoint.value();
+  }
+  [[nodiscard]] bool was_sent() const noexcept { return call_.was_sent(); }
+  /// The reason of the last step `kNotSent` or `kLost`.
+  [[nodiscard]] const Failure& failure() const noexcept { return failure_; }
+  [[nodiscard]] HttpCall& call() noexcept { return call_; }
+
+ private:
+  [[nodiscard]] std::chrono::milliseconds TimeLeft() const {
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(
+                        options_.deadline - clock_.Now()),
+                    std::chrono::milliseconds(0));
+  }
+
+  /// Whether the response is a stream that may be forwarded.
+  [[nodiscard]] bool IsStream() const {
+    constexpr unsigned kOk = 200;
+    return options_.streams && head_.status == kOk && head_.IsTrusted();
+  }
+
+  void OnProgress() {
+    if (registration_) {
+      last_received_at_ = clock_.Now();
+      state_.stall_detector().OnProgress(first_endpoint(), *last_received_at_);
+    }
+  }
+
+  AttemptStep OnHead() {
+    has_head_ = true;
+    OnProgress();
+    head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
+                                      call_.fields());
+    if (head_.load && registration_) {
+      selector_.OnReportedLoad(first_endpoint(), *head_.load, clock_.Now());
+    }
+    if (head_.is_not_run) {
+      return AttemptStep::kNotRun;
+    }
+    return IsStream() ? AttemptStep::kStreamBegun : AttemptStep::kResponse;
+  }
+
+  AttemptStep OnStreamEnd() {
+    if (options_.position.incomplete_event().empty()) {
+      return AttemptStep::kStreamEnded;
+    }
+    failure_ = {.code = Errc::kBadEndpointAnswer,
+                .outcome = Outcome::kUnknown,
+                .where = "ends within an event"};
+    return AttemptStep::kLost;
+  }
+
+  AttemptStep OnFailure(const Failure& failure) {
+    if (call_.was_interrupted()) {
+      return AttemptStep::kInterrupted;
+    }
+    failure_ = failure;
+    return call_.was_sent() ? AttemptStep::kLost : AttemptStep::kNotSent;
+  }
+
+  void Leave() noexcept {
+    if (!registration_) {
+      return;
+    }
+    SuspendLoad();
+    state_.stall_detector().OnEnded(first_endpoint());
+    state_.RemoveAttempt(*registration_);
+    registration_.reset();
+  }
+
+  RelayState& state_;
+  const TheClock& clock_;
+  ChainSelector& selector_;
+  ChainAttemptOptions options_;
+  HttpCall call_;
+  /// Empty when the attempt no longer counts as in flight.
+  std::optional<std::list<ActiveAttempt>::iterator> registration_;
+  bool counts_as_load_ = true;
+  std::optional<TimePoint> last_received_at_;
+  bool is_started_ = false;
+  bool has_head_ = false;
+  ResponseHead head_;
+  std::string_view events_;
+  Failure failure_;
+};
+
+}  // namespace sycamoreford
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -17,7 +17,7 @@
 namespace sycamoreford {
 
 /// Inspects the stages of stalled chains, slow endpoints and endpoints whose
-/// suspicion is about to end, and reports those that are lost.
+/// suspicion is about to end, and marks those that do not respond as suspected.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <EndpointControl Control, Clock TheClock>
@@ -83,13 +83,13 @@
     const auto report = co_await control_.FetchReport(address);
     pending_inspections_.erase(id);
     if (!report) {
-      state_.OnEndpointLost(id, "no_report", clock_.Now());
+      state_.OnEndpointSuspected(id, "no_report", clock_.Now());
       co_return;
     }
     known = state_.directory().Find(id);
     if (known != nullptr &&
         known->record.started_at_ms != report->started_at_ms) {
-      state_.OnEndpointLost(id, "restarted", clock_.Now());
+      state_.OnEndpointSuspected(id, "restarted", clock_.Now());
       co_return;
     }
     state_.directory().OnLayers(id, report->layers);
@@ -104,7 +104,7 @@
       }
     }
     for (const std::string& stage : faulty_stages) {
-      state_.OnEndpointLost(stage, "stalls_chain", clock_.Now());
+      state_.OnEndpointSuspected(stage, "stalls_chain", clock_.Now());
     }
   }
 
--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -39,6 +39,35 @@
       std::chrono::milliseconds connect_timeout,
       std::chrono::milliseconds header_timeout);
 
+  /// Connects and sends the request; the first part of `Start`.
+  ///
+  /// \param timeout maximum time in total, including the connection.
+  /// Precondition: called once, instead of `Start`.
+  [[nodiscard]] boost::asio::awaitable<std::optional<Failure>> Send(
+      const std::string& address,
+      const HttpRequest& request,
+      std::chrono::milliseconds connect_timeout,
+      std::chrono::milliseconds timeout);
+
+  /// Receives the response header; the second part of `Start`. May be called
+  /// again after an interruption.
+  ///
+  /// \param timeout maximum time.
+  /// Precondition: `Send` has returned without a failure.
+  [[nodiscard]] boost::asio::awaitable<std::optional<Failure>> ReadHead(
+      std::chrono::milliseconds timeout);
+
+  /// Ends the running or otherwise the next call of `ReadHead` or `ReadSome`
+  /// with a failure, without losing any bytes: calling it again goes on with
+  /// the response. Must be called on the thread that runs the executor.
+  void Interrupt() noexcept;
+
+  /// Discards an interruption that has not ended a call yet.
+  void ClearInterrupt() noexcept;
+
+  /// Whether the last failure was due to `Interrupt`.
+  [[nodiscard]] bool was_interrupted() const noexcept;
+
   /// Closes the connection; pending operations end with a failure. Must be
   /// called on the thread that runs the executor.
   void Abort() noexcept;
@@ -77,7 +106,7 @@
   [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
   ReadSome(std::chrono::milliseconds timeout);
 
-  /// Reads the rest of the body.
+  /// Reads the rest of the body; is not interrupted.
   ///
   /// \param max_bytes maximum size; a longer body is `kBadEndpointAnswer`.
   /// \param timeout maximum time for the whole body.
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -9,15 +9,22 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <xxhash.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "sycamoreford/adapters/attempt_reserve.h"
+#include "sycamoreford/adapters/attempt_step.h"
+#include "sycamoreford/adapters/background_task.h"
+#include "sycamoreford/adapters/chain_attempt.h"
+#include "sycamoreford/adapters/endpoint_attempt.h"
 #include "sycamoreford/adapters/http_client.h"
 #include "sycamoreford/adapters/http_server.h"
 #include "sycamoreford/adapters/relay_state.h"
+#include "sycamoreford/adapters/wake_signal.h"
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/relay/event_splitter.h"
 #include "sycamoreford/relay/relay_codec.h"
@@ -33,6 +40,9 @@
 /// Maximum number of failed attempts to connect, in which nothing was sent,
 /// before a request is refused.
 inline constexpr int kMaxConnectFailures = 3;
+/// A chain from which something has arrived within this time is not silent; of
+/// the order of the longest pause between the events of a chain at work.
+inline constexpr std::chrono::milliseconds kMinSilence{100};
 /// Maximum size of a response that is buffered before it is forwarded.
 inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 
@@ -54,6 +64,8 @@
   bool may_have_run = false;
   /// Why the request was not sent again, for the log.
   std::string_view last_denial;
+  /// What was last logged of an attempt that was silent.
+  std::string_view silence_outcome;
   std::set<std::string> tried_endpoints;
 
   [[nodiscard]] std::chrono::milliseconds TimeLeft(TimePoint now) const {
@@ -76,6 +88,9 @@
 /// reported that it did not run it, or if nothing was sent. A resumable stream
 /// that breaks is resumed at another chain after its last complete event.
 ///
+/// Silence alone ends no attempt: a request that may run again is sent
+/// elsewhere as well, and the attempt that goes on first is kept.
+///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
 class RelayHandler {
@@ -103,18 +118,9 @@
 
  private:
   using RequestContext = relay::RequestContext;
-
-  /// Outcome of sending a request to an endpoint once.
-  enum class SendOutcome {
-    /// The caller has received the complete response.
-    kDelivered,
-    /// The endpoint reported that it did not run the request.
-    kNotRun,
-    /// No connection was established, so nothing was sent.
-    kNotSent,
-    /// The request may have run, but there is no usable response.
-    kResponseLost,
-  };
+  using ToChain = ChainAttempt<Codec, TheClock>;
+  using ToEndpoint = EndpointAttempt<Codec, TheClock>;
+  using Reserve = AttemptReserve<ToChain>;
 
   /// Decodes the request and finds its route, customer and service.
   ///
@@ -174,11 +180,6 @@
     return nullptr;
   }
 
-  [[nodiscard]] static bool IsServerError(unsigned status) noexcept {
-    constexpr unsigned kFirstServerError = 500;
-    return status >= kFirstServerError;
-  }
-
   /// Time since the request arrived.
   [[nodiscard]] Duration Elapsed(const RequestContext& context) const {
     return clock_.Now() - context.arrived_at;
@@ -214,38 +215,47 @@
     return is_late ? Refusal::kTooLate : Refusal::kNoEndpoint;
   }
 
-  /// Whether the request may be sent once more; if it was sent before, acquires
-  /// a retry from the retry budget.
-  bool TryAcquireSend(RequestContext& context) {
-    const TimePoint now = clock_.Now();
+  /// Whether the request may be sent once more, apart from the retry budget.
+  bool MayBeSent(RequestContext& context) const {
     context.last_denial = "";
     if (context.connect_failures >= relay::kMaxConnectFailures) {
       context.last_denial = "no_connection";
     } else if (context.sends >= relay::kMaxSends) {
       context.last_denial = "max_sends";
-    } else if (context.TimeLeft(now) < relay::kMinTimeLeft) {
+    } else if (context.TimeLeft(clock_.Now()) < relay::kMinTimeLeft) {
       context.last_denial = "no_time_left";
     } else if (context.may_have_run && !context.MayRunAgain()) {
       context.last_denial = "runs_at_most_once";
-    } else if (context.sends > 0 &&
-               !state_.RetryBudgetFor(context.service->name)
-                    .TryAcquire(now, state_.daemon_count())) {
-      context.last_denial = "retry_budget";
     }
     return context.last_denial.empty();
   }
 
+  /// Counts a send. If the request was sent before, acquires a retry from the
+  /// retry budget.
+  ///
+  /// \returns whether the request may be sent.
+  bool TryAcquireSend(RequestContext& context) {
+    if (context.sends > 0 &&
+        !state_.RetryBudgetFor(context.service->name)
+             .TryAcquire(clock_.Now(), state_.daemon_count())) {
+      context.last_denial = "retry_budget";
+      return false;
+    }
+    ++context.sends;
+    return true;
+  }
+
   /// Records a send after which the caller has no complete response.
-  static void RecordFailedSend(RequestContext& context,
-                               SendOutcome outcome,
-                               const std::string& endpoint) {
-    if (outcome == SendOutcome::kNotSent) {
+  void RecordFailedSend(RequestContext& context,
+                        AttemptStep step,
+                        const std::string& endpoint) {
+    if (step == AttemptStep::kNotSent) {
+      --context.sends;
       ++context.connect_failures;
       return;
     }
     context.tried_endpoints.insert(endpoint);
-    context.may_have_run =
-        context.may_have_run || outcome == SendOutcome::kResponseLost;
+    context.may_have_run = context.may_have_run || step != AttemptStep::kNotRun;
   }
 
   /// Throws if the caller has disconnected, since the cancelled call would
@@ -259,26 +269,51 @@
 
   // Plain services, which have no engine.
 
+  /// An attempt that runs in the background.
+  struct PendingAttempt {
+    std::shared_ptr<ToEndpoint> attempt;
+    std::unique_ptr<BackgroundTask<AttemptStep>> task;
+  };
+
+  /// Attempts of one request that run at the same time; those that are left are
+  /// abandoned on destruction.
+  struct PendingAttempts {
+    explicit PendingAttempts(const boost::asio::any_io_executor& executor)
+        : ended(executor) {}
+    PendingAttempts(const PendingAttempts&) = delete;
+    PendingAttempts& operator=(const PendingAttempts&) = delete;
+    ~PendingAttempts() {
+      for (const PendingAttempt& pending : attempts) {
+        pending.attempt->Abandon();
+      }
+    }
+    /// Notified when an attempt has ended.
+    WakeSignal ended;
+    std::vector<PendingAttempt> attempts;
+  };
+
+  /// A request that may run again is sent to a further endpoint when the first
+  /// one does not respond in time, but that one may still respond first.
   boost::asio::awaitable<void> ServeByEndpoint(HttpExchange& exchange,
                                                RequestContext& context) {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    PendingAttempts pending(executor);
     std::optional<HttpResponse> error_response;
-    while (TryAcquireSend(context)) {
-      if (context.tried_endpoints.size() >= context.route->max_attempts) {
-        break;
+    for (;;) {
+      if (AreAllOverdue(pending)) {
+        OpenEndpointAttempt(executor, exchange.request(), context, pending);
       }
-      const KnownEndpoint* endpoint = state_.service_selector().Pick(
-          state_.directory(), context.service->name, clock_.Now(),
-          context.tried_endpoints, !context.MayRunAgain());
-      if (endpoint == nullptr) {
+      if (pending.attempts.empty()) {
         break;
       }
-      const EndpointRecord record = endpoint->record;
-      const SendOutcome outcome =
-          co_await SendToEndpoint(exchange, context, record, error_response);
-      if (outcome == SendOutcome::kDelivered) {
+      co_await pending.ended.Wait(TimeUntilOverdue(context, pending));
+      co_await ThrowIfCallerGone();
+      auto response = TakeResponse(context, pending, error_response);
+      if (response) {
+        co_await exchange.Respond(std::move(*response));
         co_return;
       }
-      RecordFailedSend(context, outcome, record.id);
+      ReportOverdue(context, pending);
     }
     if (error_response) {
       RecordOutcome(context, "endpoint_failed");
@@ -288,117 +323,138 @@
     co_await Refuse(exchange, context, FinalRefusal(context));
   }
 
-  /// Counts a request as in flight at its endpoint until the response or,
-  /// without one, until destruction.
-  class EndpointUseGuard {
-   public:
-    EndpointUseGuard(ServiceSelector& selector, std::string id)
-        : selector_(selector), id_(std::move(id)) {
-      selector_.OnSent(id_);
-    }
-    EndpointUseGuard(const EndpointUseGuard&) = delete;
-    EndpointUseGuard& operator=(const EndpointUseGuard&) = delete;
-    ~EndpointUseGuard() {
-      if (!has_response_) {
-        selector_.OnEnded(id_);
+  /// Whether no attempt is expected to respond in time.
+  [[nodiscard]] static bool AreAllOverdue(const PendingAttempts& pending) {
+    return std::all_of(
+        pending.attempts.begin(), pending.attempts.end(),
+        [](const PendingAttempt& it) { return it.attempt->is_reported(); });
+  }
+
+  /// Time until the newest attempt is overdue; the time left if the request
+  /// must not run again, or if the attempt is overdue already.
+  [[nodiscard]] std::chrono::milliseconds TimeUntilOverdue(
+      const RequestContext& context,
+      const PendingAttempts& pending) const {
+    const TimePoint now = clock_.Now();
+    const ToEndpoint& newest = *pending.attempts.back().attempt;
+    if (!context.MayRunAgain() || newest.is_reported()) {
+      return std::max(context.TimeLeft(now), relay::kMinTimeLeft);
+    }
+    return std::max(
+        std::chrono::ceil<std::chrono::milliseconds>(
+            newest.started_at() + context.route->target_latency - now),
+        std::chrono::milliseconds(0));
+  }
+
+  /// Reports endpoints that have not responded within the target latency.
+  void ReportOverdue(const RequestContext& context,
+                     const PendingAttempts& pending) const {
+    const TimePoint now = clock_.Now();
+    for (const PendingAttempt& it : pending.attempts) {
+      if (context.MayRunAgain() &&
+          now - it.attempt->started_at() >= context.route->target_latency) {
+        it.attempt->OnOverdue();
       }
     }
-    void OnResponse(TimePoint now, Duration time, bool ok) {
-      has_response_ = true;
-      selector_.OnResponse(id_, now, time, ok);
+  }
+
+  /// Sends the request to a further endpoint if that is possible.
+  void OpenEndpointAttempt(const boost::asio::any_io_executor& executor,
+                           const HttpRequest& request,
+                           RequestContext& context,
+                           PendingAttempts& pending) {
+    if (!MayBeSent(context) ||
+        context.tried_endpoints.size() >= context.route->max_attempts) {
+      return;
+    }
+    const KnownEndpoint* endpoint = state_.service_selector().Pick(
+        state_.directory(), context.service->name, clock_.Now(),
+        context.tried_endpoints, !context.MayRunAgain());
+    if (endpoint == nullptr || !TryAcquireSend(context)) {
+      return;
     }
+    const EndpointRecord& record = endpoint->record;
+    ForwardOptions forward;
+    forward.endpoint_id = record.id;
+    forward.time_left = context.TimeLeft(clock_.Now());
+    forward.customer = context.customer;
+    auto attempt = std::make_shared<ToEndpoint>(
+        state_.service_selector(), clock_, executor,
+        EndpointAttemptOptions{.request_id = context.request.id,
+                               .endpoint = record.id,
+                               .address = record.address,
+                               .request = Codec::Encode(request, forward),
+                               .deadline = context.deadline,
+                               .connect_timeout = relay::kConnectTimeout,
+                               .max_response_bytes = relay::kMaxResponseBytes});
+    context.tried_endpoints.insert(record.id);
+    auto task = std::make_unique<BackgroundTask<AttemptStep>>(
+        executor, RunAttempt(attempt), AttemptStep::kLost,
+        [&pending] { pending.ended.Notify(); });
+    pending.attempts.push_back({std::move(attempt), std::move(task)});
+  }
 
-   private:
-    ServiceSelector& selector_;
-    std::string id_;
-    bool has_response_ = false;
-  };
+  static boost::asio::awaitable<AttemptStep> RunAttempt(
+      std::shared_ptr<ToEndpoint> attempt) {
+    co_return co_await attempt->Run();
+  }
 
-  boost::asio::awaitable<SendOutcome> SendToEndpoint(
-      HttpExchange& exchange,
+  /// Removes the attempts that have ended.
+  ///
+  /// \param error_response set to a response that is returned only if no other
+  ///     endpoint responds.
+  /// \returns a response for the caller, if there is one.
+  std::optional<HttpResponse> TakeResponse(
       RequestContext& context,
-      const EndpointRecord& record,
+      PendingAttempts& pending,
       std::optional<HttpResponse>& error_response) {
-    const TimePoint started_at = clock_.Now();
-    const auto time_left = context.TimeLeft(started_at);
-    // A request that may be sent elsewhere does not wait for an unresponsive
-    // endpoint until its deadline.
-    const bool may_try_another =
-        context.MayRunAgain() &&
-        context.tried_endpoints.size() + 1 < context.route->max_attempts;
-    const auto response_timeout =
-        may_try_another ? std::min(time_left, context.route->target_latency)
-                        : time_left;
-    ForwardOptions options;
-    options.endpoint_id = record.id;
-    options.time_left = time_left;
-    options.customer = context.customer;
-    EndpointUseGuard guard(state_.service_selector(), record.id);
-    HttpCall call(co_await boost::asio::this_coro::executor);
-    const HttpRequest encoded = Codec::Encode(exchange.request(), options);
-    const auto failure = co_await call.Start(
-        record.address, encoded, relay::kConnectTimeout, response_timeout);
-    co_await ThrowIfCallerGone();
-    context.sends += call.was_sent() ? 1 : 0;
-    if (failure) {
-      const TimePoint now = clock_.Now();
-      guard.OnResponse(now, now - started_at, false);
-      if (!call.was_sent()) {
-        state_.OnEndpointLost(record.id, "no_connection", now);
-        co_return SendOutcome::kNotSent;
+    auto& attempts = pending.attempts;
+    for (auto it = attempts.begin(); it != attempts.end();) {
+      const std::optional<AttemptStep> step = it->task->result();
+      if (!step) {
+        ++it;
+        continue;
       }
-      LogResponseLost(context, record.id, *failure);
-      co_return SendOutcome::kResponseLost;
+      const auto attempt = std::move(it->attempt);
+      it = attempts.erase(it);
+      if (*step != AttemptStep::kResponse) {
+        OnAttemptFailed(context, *attempt, *step);
+        continue;
+      }
+      state_.directory().OnSuccess(attempt->endpoint());
+      if (!attempt->head().IsServerError() || !context.MayRunAgain()) {
+        RecordOutcome(context, attempt->head().IsServerError()
+                                   ? "endpoint_failed"
+                                   : "answered");
+        return attempt->TakeResponse();
+      }
+      error_response = attempt->TakeResponse();
+      RecordFailedSend(context, AttemptStep::kLost, attempt->endpoint());
     }
-    co_return co_await ReadResponse(exchange, context, record.id, call, guard,
-                                    started_at, error_response);
+    return std::nullopt;
   }
 
-  boost::asio::awaitable<SendOutcome> ReadResponse(
-      HttpExchange& exchange,
-      RequestContext& context,
-      const std::string& endpoint,
-      HttpCall& call,
-      EndpointUseGuard& guard,
-      TimePoint started_at,
-      std::optional<HttpResponse>& error_response) {
-    const ResponseHead head = Codec::DecodeResponseHead(
-        context.request.id, call.status(), call.fields());
-    auto body = co_await call.ReadAll(relay::kMaxResponseBytes,
-                                      context.TimeLeft(clock_.Now()));
-    co_await ThrowIfCallerGone();
-    const TimePoint now = clock_.Now();
-    const bool is_success =
-        body.has_value() && head.IsTrusted() && !IsServerError(head.status);
-    guard.OnResponse(now, now - started_at, is_success);
-    if (head.is_not_run) {
-      LogNotRun(context, endpoint, head);
-      co_return SendOutcome::kNotRun;
-    }
-    if (!body.has_value() || !head.IsTrusted()) {
-      LogResponseLost(context, endpoint,
-                      body.has_value()
-                          ? Failure{.code = Errc::kBadEndpointAnswer}
-                          : body.error());
-      co_return SendOutcome::kResponseLost;
-    }
-    state_.directory().OnSuccess(endpoint);
-    HttpResponse response = Codec::EncodeResponse(call.status(), call.fields());
-    response.body = std::move(*body);
-    if (!is_success && context.MayRunAgain()) {
-      error_response = std::move(response);
-      co_return SendOutcome::kResponseLost;
+  void OnAttemptFailed(RequestContext& context,
+                       const ToEndpoint& attempt,
+                       AttemptStep step) {
+    RecordFailedSend(context, step, attempt.endpoint());
+    if (step == AttemptStep::kNotSent) {
+      context.tried_endpoints.erase(attempt.endpoint());
+      state_.OnEndpointSuspected(attempt.endpoint(), "no_connection",
+                                 clock_.Now());
+    } else if (step == AttemptStep::kNotRun) {
+      LogNotRun(context, attempt.endpoint(), attempt.head());
+    } else {
+      LogResponseLost(context, attempt.endpoint(), attempt.failure());
     }
-    RecordOutcome(context, is_success ? "answered" : "endpoint_failed");
-    co_await exchange.Respond(std::move(response));
-    co_return SendOutcome::kDelivered;
   }
 
   // Model services, whose engines run on chains of endpoints.
 
   /// Progress of the response to a request that is served by chains.
   struct StreamProgress {
-    EventSplitter splitter;
+    /// Position after the last event that was delivered.
+    EventSplitter position;
     bool has_begun = false;
     TimePoint first_event{};
     TimePoint last_event{};
@@ -416,28 +472,51 @@
 
   boost::asio::awaitable<void> ServeByChain(HttpExchange& exchange,
                                             RequestContext& context) {
+    const auto executor = co_await boost::asio::this_coro::executor;
     StreamProgress progress;
-    const double tokens = ExpectedTokens(context);
-    while (TryAcquireSend(context)) {
-      const bool only_tried =
-          context.tried_endpoints.size() >= context.route->max_attempts;
-      const ServingChain* chain =
-          state_.ChainSelectorFor(*context.service, clock_.Now())
-              .Pick(tokens, state_.daemon_count(), context.tried_endpoints,
-                    only_tried, clock_.Now());
-      if (chain == nullptr) {
-        context.last_denial = "no_chain";
-        break;
+    Reserve reserve(executor);
+    auto attempt = OpenChainAttempt(executor, exchange.request(), context,
+                                    progress.position);
+    while (attempt) {
+      AttemptStep step = co_await attempt->Next();
+      co_await ThrowIfCallerGone();
+      if (step == AttemptStep::kInterrupted) {
+        step = co_await TryOthers(exchange, context, attempt, reserve);
       }
-      const Chain stages = chain->stages;
-      const SendOutcome outcome =
-          co_await SendToChain(exchange, context, stages, tokens, progress);
-      if (outcome == SendOutcome::kDelivered) {
-        co_return;
+      switch (step) {
+        case AttemptStep::kInterrupted:
+          continue;
+        case AttemptStep::kStreamBegun:
+          co_await BeginStream(exchange, *attempt, progress);
+          continue;
+        case AttemptStep::kEvents:
+          co_await DeliverEvents(exchange, context, *attempt, progress);
+          continue;
+        case AttemptStep::kStreamEnded:
+          co_await FinishStream(exchange, context, *attempt, progress);
+          co_return;
+        case AttemptStep::kResponse: {
+          const bool is_delivered =
+              co_await ForwardResponse(exchange, context, *attempt, progress);
+          if (is_delivered) {
+            co_return;
+          }
+          break;
+        }
+        case AttemptStep::kNotRun:
+        case AttemptStep::kNotSent:
+        case AttemptStep::kLost:
+          break;
       }
-      RecordFailedSend(context, outcome, stages.front().endpoint.value());
-      if (outcome == SendOutcome::kResponseLost) {
-        progress.splitter.Restart();
+      OnAttemptFailed(context, *attempt, step);
+      progress.position = attempt->position();
+      // The failed attempt must not count as load when the next chain is
+      // selected.
+      attempt.reset();
+      attempt = OpenChainAttempt(executor, exchange.request(), context,
+                                 progress.position);
+      if (!attempt) {
+        attempt = co_await TakeReserve(reserve, progress.position);
       }
     }
     if (!progress.has_begun) {
@@ -449,7 +528,7 @@
     RecordOutcome(context, "broken");
     LogEvent(Severity::kWarning, "stream_broken")
         .With("request", context.request.id)
-        .With("events", progress.splitter.event_count())
+        .With("events", progress.position.event_count())
         .With("sends", context.sends)
         .With("not_resent", context.last_denial)
         .With("after_ms", Elapsed(context));
@@ -463,198 +542,307 @@
     return prompt + engine.mean_output_tokens;
   }
 
-  /// Counts a request as in flight on its chain during the object's lifetime,
-  /// and registers it so that it is aborted if a stage is lost.
-  class ChainUseGuard {
-   public:
-    ChainUseGuard(RelayState& state,
-                  const RelayService& service,
-                  ActiveAttempt attempt,
-                  double tokens,
-                  TimePoint now)
-        : state_(state),
-          selector_(state.ChainSelectorFor(service, now)),
-          tokens_(tokens),
-          attempt_(state.AddAttempt(std::move(attempt))) {
-      selector_.OnSent(attempt_->stages, tokens_);
-      state_.stall_detector().OnSent(first_endpoint(), now);
-    }
-    ChainUseGuard(const ChainUseGuard&) = delete;
-    ChainUseGuard& operator=(const ChainUseGuard&) = delete;
-    ~ChainUseGuard() {
-      selector_.OnEnded(attempt_->stages, tokens_);
-      state_.stall_detector().OnEnded(first_endpoint());
-      state_.RemoveAttempt(attempt_);
-    }
-    void OnProgress(TimePoint now) {
-      state_.stall_detector().OnProgress(first_endpoint(), now);
-    }
-    void OnPause(Duration pause) {
-      state_.stall_detector().OnPause(first_endpoint(), pause);
-    }
-    void OnReportedLoad(ReportedLoad load, TimePoint now) {
-      selector_.OnReportedLoad(first_endpoint(), load, now);
-    }
-    [[nodiscard]] const std::string& first_endpoint() const {
-      return attempt_->stages.front().endpoint.value();
-    }
-    [[nodiscard]] bool is_aborted() const { return attempt_->is_aborted; }
-
-   private:
-    RelayState& state_;
-    ChainSelector& selector_;
-    double tokens_;
-    std::list<ActiveAttempt>::iterator attempt_;
-  };
-
-  [[nodiscard]] ForwardOptions OptionsFor(
-      const RequestContext& context,
-      const Chain& stages,
-      const StreamProgress& progress) const {
+  [[nodiscard]] ForwardOptions OptionsFor(const RequestContext& context,
+                                          const Chain& stages,
+                                          const EventSplitter& position) const {
     ForwardOptions options;
     options.endpoint_id = stages.front().endpoint.value();
     options.time_left = context.TimeLeft(clock_.Now());
     options.customer = context.customer;
     options.stages = stages;
-    const bool resumes = progress.splitter.event_count() > 0;
+    const bool resumes = position.event_count() > 0;
     options.urgency =
         std::min(context.priority + (resumes ? relay::kResumeUrgencyOffset : 0),
                  relay::kLowestUrgency);
     options.last_event_id =
-        resumes ? progress.splitter.last_id() : context.request.last_event_id;
+        resumes ? position.last_id() : context.request.last_event_id;
     return options;
   }
 
-  boost::asio::awaitable<SendOutcome> SendToChain(HttpExchange& exchange,
-                                                  RequestContext& context,
-                                                  const Chain& stages,
-                                                  double tokens,
-                                                  StreamProgress& progress) {
-    const TimePoint started_at = clock_.Now();
-    const std::string first_endpoint = stages.front().endpoint.value();
-    HttpCall call(co_await boost::asio::this_coro::executor);
-    ChainUseGuard guard(
-        state_, *context.service,
-        {.request_id = context.request.id, .stages = stages, .call = &call},
-        tokens, started_at);
-    const ForwardOptions options = OptionsFor(context, stages, progress);
-    const HttpRequest encoded = Codec::Encode(exchange.request(), options);
-    const auto failure =
-        co_await call.Start(stages.front().address, encoded,
-                            relay::kConnectTimeout, options.time_left);
-    co_await ThrowIfCallerGone();
-    context.sends += call.was_sent() ? 1 : 0;
-    if (failure) {
-      if (guard.is_aborted()) {
-        co_return call.was_sent() ? SendOutcome::kResponseLost
-                                  : SendOutcome::kNotSent;
+  /// Starts to send the request to a chain.
+  ///
+  /// \param position position in the stream after which the chain goes on.
+  /// \returns null if the request may not be sent or no chain can take it.
+  std::shared_ptr<ToChain> OpenChainAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      EventSplitter position) {
+    if (!MayBeSent(context)) {
+      return nullptr;
+    }
+    const double tokens = ExpectedTokens(context);
+    const bool only_tried =
+        context.tried_endpoints.size() >= context.route->max_attempts;
+    const ServingChain* chain =
+        state_.ChainSelectorFor(*context.service, clock_.Now())
+            .Pick(tokens, state_.daemon_count(), context.tried_endpoints,
+                  only_tried, clock_.Now());
+    if (chain == nullptr) {
+      context.last_denial = "no_chain";
+      return nullptr;
+    }
+    if (!TryAcquireSend(context)) {
+      return nullptr;
+    }
+    position.Restart();
+    const Chain stages = chain->stages;
+    return std::make_shared<ToChain>(
+        state_, clock_, executor, *context.service,
+        ChainAttemptOptions{.request_id = context.request.id,
+                            .request = Codec::Encode(
+                                request, OptionsFor(context, stages, position)),
+                            .stages = stages,
+                            .tokens = tokens,
+                            .deadline = context.deadline,
+                            .connect_timeout = relay::kConnectTimeout,
+                            .streams = context.route->streams,
+                            .position = std::move(position)});
+  }
+
+  /// Tries other attempts for a request whose attempt is suspected to be
+  /// silent: other chains, and else the attempt in reserve. A silent endpoint
+  /// may go on, so the attempt stays open; whichever goes on first is kept, and
+  /// a silent one that was replaced is held in reserve.
+  ///
+  /// \param attempt replaced by the attempt to go on with.
+  /// \returns the next step of `attempt`; `kInterrupted` if it is not silent or
+  ///     if nothing else can be tried at present.
+  boost::asio::awaitable<AttemptStep> TryOthers(
+      HttpExchange& exchange,
+      RequestContext& context,
+      std::shared_ptr<ToChain>& attempt,
+      Reserve& reserve) {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    for (;;) {
+      if (!MayTryOthers(context, *attempt)) {
+        co_return AttemptStep::kInterrupted;
+      }
+      auto other =
+          OpenSuccessor(executor, exchange.request(), context, *attempt);
+      if (!other) {
+        other = co_await TakeReserve(reserve, attempt->position());
+        co_await ThrowIfCallerGone();
+      }
+      if (!other) {
+        LogSilence(context, *attempt, context.last_denial);
+        co_return AttemptStep::kInterrupted;
       }
-      if (!call.was_sent()) {
-        state_.OnEndpointLost(first_endpoint, "no_connection", clock_.Now());
-        co_return SendOutcome::kNotSent;
+      AbandonGuard guard(*other);
+      WakeSignal ended(executor);
+      const BackgroundTask<AttemptStep> task(executor, FirstProgress(other),
+                                             AttemptStep::kLost,
+                                             [&ended, &current = *attempt] {
+                                               ended.Notify();
+                                               current.Interrupt();
+                                             });
+      AttemptStep step = AttemptStep::kInterrupted;
+      while (step == AttemptStep::kInterrupted && !task.result()) {
+        step = co_await attempt->Next();
+        co_await ThrowIfCallerGone();
       }
-      LogResponseLost(context, first_endpoint, *failure);
-      co_return SendOutcome::kResponseLost;
+      attempt->ClearInterrupt();
+      if (IsGoingOn(*attempt, step)) {
+        attempt->ResumeLoad();
+        context.sends -= other->was_sent() ? 0 : 1;
+        LogSilence(context, *attempt, "went_on");
+        co_return step;
+      }
+      if (step != AttemptStep::kInterrupted) {
+        OnAttemptFailed(context, *attempt, step);
+        while (!task.result()) {
+          co_await ended.Wait(context.TimeLeft(clock_.Now()) +
+                              relay::kMinTimeLeft);
+          co_await ThrowIfCallerGone();
+        }
+      } else if (IsGoingOn(*other, *task.result())) {
+        LogSilence(context, *attempt, "replaced");
+        RecordFailedSend(context, AttemptStep::kLost,
+                         attempt->first_endpoint());
+        reserve.Keep(attempt);
+      } else {
+        OnAttemptFailed(context, *other, *task.result());
+        continue;
+      }
+      guard.Keep();
+      attempt = other;
+      co_return *task.result();
     }
-    guard.OnProgress(clock_.Now());
-    const ResponseHead head = Codec::DecodeResponseHead(
-        context.request.id, call.status(), call.fields());
-    if (head.load) {
-      guard.OnReportedLoad(*head.load, clock_.Now());
+  }
+
+  /// Whether an attempt is silent and its request may be sent elsewhere.
+  bool MayTryOthers(RequestContext& context, const ToChain& attempt) const {
+    if (attempt.HasReceivedSince(clock_.Now() - relay::kMinSilence)) {
+      return false;
     }
-    if (head.is_not_run) {
-      OnChainRefusal(context, stages, head);
-      co_return SendOutcome::kNotRun;
+    if (!context.MayRunAgain()) {
+      LogSilence(context, attempt, "runs_at_most_once");
     }
-    constexpr unsigned kOk = 200;
-    if (head.status != kOk || !head.IsTrusted() || !context.route->streams) {
-      co_return co_await ForwardResponse(exchange, context, first_endpoint,
-                                         call, head, progress);
+    return context.MayRunAgain();
+  }
+
+  /// Takes the attempt in reserve, to go on after `position`.
+  boost::asio::awaitable<std::shared_ptr<ToChain>> TakeReserve(
+      Reserve& reserve,
+      const EventSplitter& position) {
+    auto attempt = co_await reserve.Take();
+    if (attempt) {
+      attempt->ResumeLoad();
+      attempt->SkipTo(position);
+    }
+    co_return attempt;
+  }
+
+  /// Abandons an attempt on destruction, unless it is kept.
+  class AbandonGuard {
+   public:
+    explicit AbandonGuard(ToChain& attempt) : attempt_(&attempt) {}
+    AbandonGuard(const AbandonGuard&) = delete;
+    AbandonGuard& operator=(const AbandonGuard&) = delete;
+    ~AbandonGuard() {
+      if (attempt_ != nullptr) {
+        attempt_->Abandon();
+      }
+    }
+    void Keep() noexcept { attempt_ = nullptr; }
+
+   private:
+    ToChain* attempt_;
+  };
+
+  /// The first step of an attempt that decides whether it goes on.
+  static boost::asio::awaitable<AttemptStep> FirstProgress(
+      std::shared_ptr<ToChain> attempt) {
+    AttemptStep step = AttemptStep::kInterrupted;
+    while (step == AttemptStep::kInterrupted ||
+           step == AttemptStep::kStreamBegun) {
+      step = co_await attempt->Next();
+    }
+    co_return step;
+  }
+
+  /// Whether a step brings the caller's response forward.
+  [[nodiscard]] static bool IsGoingOn(const ToChain& attempt,
+                                      AttemptStep step) {
+    switch (step) {
+      case AttemptStep::kStreamBegun:
+      case AttemptStep::kEvents:
+      case AttemptStep::kStreamEnded:
+        return true;
+      case AttemptStep::kResponse:
+        return attempt.head().IsTrusted() && !attempt.head().IsServerError();
+      case AttemptStep::kNotRun:
+      case AttemptStep::kNotSent:
+      case AttemptStep::kLost:
+      case AttemptStep::kInterrupted:
+        return false;
+    }
+    return false;
+  }
+
+  /// Starts to send a request whose attempt is silent to another chain.
+  ///
+  /// \returns null if no chain can be tried.
+  std::shared_ptr<ToChain> OpenSuccessor(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      ToChain& attempt) {
+    context.tried_endpoints.insert(attempt.first_endpoint());
+    // One of the two ends soon; only the successor counts as load until then.
+    attempt.SuspendLoad();
+    auto successor =
+        OpenChainAttempt(executor, request, context, attempt.position());
+    if (!successor) {
+      attempt.ResumeLoad();
+    }
+    return successor;
+  }
+
+  /// Forwards the events of the last step.
+  boost::asio::awaitable<void> DeliverEvents(HttpExchange& exchange,
+                                             const RequestContext& context,
+                                             ToChain& attempt,
+                                             StreamProgress& progress) {
+    const TimePoint now = clock_.Now();
+    if (progress.last_event != TimePoint{}) {
+      attempt.OnPause(now - progress.last_event);
+    } else {
+      state_.metrics().OnFirstEvent(context.service->name,
+                                    now - context.arrived_at);
     }
+    progress.OnDelivered(now);
+    co_await BeginStream(exchange, attempt, progress);
+    co_await exchange.SendChunk(attempt.events());
+  }
+
+  /// Sends the head of the response unless one was sent before.
+  boost::asio::awaitable<void> BeginStream(HttpExchange& exchange,
+                                           ToChain& attempt,
+                                           StreamProgress& progress) {
     if (!progress.has_begun) {
       progress.has_begun = true;
-      co_await exchange.BeginStream(
-          Codec::EncodeResponse(call.status(), call.fields()));
+      co_await exchange.BeginStream(Codec::EncodeResponse(
+          attempt.call().status(), attempt.call().fields()));
     }
-    co_return co_await ForwardEvents(exchange, context, first_endpoint, call,
-                                     guard, progress);
+  }
+
+  boost::asio::awaitable<void> FinishStream(HttpExchange& exchange,
+                                            const RequestContext& context,
+                                            ToChain& attempt,
+                                            StreamProgress& progress) {
+    state_.directory().OnSuccess(attempt.first_endpoint());
+    co_await BeginStream(exchange, attempt, progress);
+    co_await exchange.EndStream();
+    RecordOutcome(context, "answered");
+    state_.metrics().OnLongestPause(context.service->name,
+                                    progress.longest_pause);
+    progress.position = attempt.position();
+    LogAnswered(context, attempt.first_endpoint(), progress);
   }
 
   /// Forwards a response that is not a stream of events.
-  boost::asio::awaitable<SendOutcome> ForwardResponse(
-      HttpExchange& exchange,
-      RequestContext& context,
-      const std::string& first_endpoint,
-      HttpCall& call,
-      const ResponseHead& head,
-      const StreamProgress& progress) {
-    auto body = co_await call.ReadAll(relay::kMaxResponseBytes,
-                                      context.TimeLeft(clock_.Now()));
+  ///
+  /// \returns whether the caller has received it.
+  boost::asio::awaitable<bool> ForwardResponse(HttpExchange& exchange,
+                                               const RequestContext& context,
+                                               ToChain& attempt,
+                                               const StreamProgress& progress) {
+    const bool is_failure = attempt.head().IsServerError();
+    auto body = co_await attempt.call().ReadAll(relay::kMaxResponseBytes,
+                                                context.TimeLeft(clock_.Now()));
     co_await ThrowIfCallerGone();
-    const bool is_failure = IsServerError(head.status);
-    if (!body.has_value() || !head.IsTrusted() || progress.has_begun ||
+    if (!body.has_value() || !attempt.head().IsTrusted() ||
+        progress.has_begun ||
         (is_failure && context.MayRunAgain() && context.sends <= 1)) {
-      LogResponseLost(
-          context, first_endpoint,
-          body.has_value()
-              ? Failure{.code = Errc::kEndpointFailed,
-                        .where = "status " + std::to_string(head.status)}
-              : body.error());
-      co_return SendOutcome::kResponseLost;
-    }
-    HttpResponse response = Codec::EncodeResponse(call.status(), call.fields());
+      co_return false;
+    }
+    HttpResponse response =
+        Codec::EncodeResponse(attempt.call().status(), attempt.call().fields());
     response.body = std::move(*body);
     RecordOutcome(context, is_failure ? "endpoint_failed" : "answered");
     co_await exchange.Respond(std::move(response));
-    co_return SendOutcome::kDelivered;
+    co_return true;
   }
 
-  boost::asio::awaitable<SendOutcome> ForwardEvents(
-      HttpExchange& exchange,
-      RequestContext& context,
-      const std::string& first_endpoint,
-      HttpCall& call,
-      ChainUseGuard& guard,
-      StreamProgress& progress) {
-    for (;;) {
-      auto bytes = co_await call.ReadSome(context.TimeLeft(clock_.Now()));
-      if (!bytes) {
-        co_await ThrowIfCallerGone();
-        if (!guard.is_aborted()) {
-          LogResponseLost(context, first_endpoint, bytes.error());
-        }
-        co_return SendOutcome::kResponseLost;
-      }
-      guard.OnProgress(clock_.Now());
-      if (!bytes->has_value()) {
-        break;
-      }
-      const std::string_view complete_events = progress.splitter.Feed(**bytes);
-      if (!complete_events.empty()) {
-        const TimePoint now = clock_.Now();
-        if (progress.last_event != TimePoint{}) {
-          guard.OnPause(now - progress.last_event);
-        } else {
-          state_.metrics().OnFirstEvent(context.service->name,
-                                        now - context.arrived_at);
-        }
-        progress.OnDelivered(now);
-        co_await exchange.SendChunk(complete_events);
-      }
-    }
-    if (!progress.splitter.incomplete_event().empty()) {
-      LogResponseLost(context, first_endpoint,
-                      Failure{.code = Errc::kBadEndpointAnswer,
-                              .where = "ends within an event"});
-      co_return SendOutcome::kResponseLost;
+  /// Called when an attempt has ended without a usable response.
+  void OnAttemptFailed(RequestContext& context,
+                       const ToChain& attempt,
+                       AttemptStep step) {
+    RecordFailedSend(context, step, attempt.first_endpoint());
+    if (step == AttemptStep::kNotRun) {
+      OnChainRefusal(context, attempt.stages(), attempt.head());
+    } else if (step == AttemptStep::kNotSent) {
+      state_.OnEndpointSuspected(attempt.first_endpoint(), "no_connection",
+                                 clock_.Now());
+    } else if (step == AttemptStep::kResponse) {
+      LogResponseLost(
+          context, attempt.first_endpoint(),
+          {.code = Errc::kEndpointFailed,
+           .where = "status " + std::to_string(attempt.head().status)});
+    } else {
+      LogResponseLost(context, attempt.first_endpoint(), attempt.failure());
     }
-    state_.directory().OnSuccess(first_endpoint);
-    co_await exchange.EndStream();
-    RecordOutcome(context, "answered");
-    state_.metrics().OnLongestPause(context.service->name,
-                                    progress.longest_pause);
-    LogAnswered(context, first_endpoint, progress);
-    co_return SendOutcome::kDelivered;
   }
 
   /// Called when a chain refused a request. If the response names the faulty
@@ -675,6 +863,24 @@
     }
   }
 
+  /// Logs what became of a request whose chain is suspected to be silent. A
+  /// repeated reason not to try another chain is not logged again.
+  void LogSilence(RequestContext& context,
+                  const ToChain& attempt,
+                  std::string_view outcome) const {
+    if (context.silence_outcome == outcome) {
+      return;
+    }
+    context.silence_outcome = outcome;
+    LogEvent(Severity::kInfo, "attempt_silent")
+        .With("request", context.request.id)
+        .With("endpoint", attempt.first_endpoint())
+        .With("outcome", outcome)
+        .With("events", attempt.position().event_count())
+        .With("sends", context.sends)
+        .With("after_ms", Elapsed(context));
+  }
+
   /// Logs a completed stream. Only a sample of those that were sent once is
   /// logged, but all that were sent several times.
   void LogAnswered(const RequestContext& context,
@@ -687,7 +893,7 @@
     LogEvent(Severity::kInfo, "answered")
         .With("request", context.request.id)
         .With("endpoint", endpoint)
-        .With("events", progress.splitter.event_count())
+        .With("events", progress.position.event_count())
         .With("sends", context.sends)
         .With("revision", context.manifest->revision())
         .With("first_event_ms", progress.first_event - context.arrived_at)
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -26,11 +26,8 @@
 struct ActiveAttempt {
   std::string request_id;
   Chain stages;
-  /// The call to the first endpoint, to be aborted if a stage is lost. Outlives
-  /// this object.
+  /// The call to the first endpoint. Outlives this object.
   HttpCall* call = nullptr;
-  /// Whether `call` was aborted because a stage was lost.
-  bool is_aborted = false;
 };
 
 /// State of a daemon that its requests and background loops share.
@@ -133,14 +130,15 @@
   /// when chains are built, by this and by the other daemons.
   void OnSlowness(const std::string& id, double slowness);
 
-  /// Called when an endpoint is lost. It is not used for a while, and the
-  /// requests in flight on chains that contain it are aborted, to be sent
-  /// elsewhere.
+  /// Called when an endpoint did not respond, or responded as if it had lost
+  /// its requests. It is not used for a while. It may be sound nonetheless, so
+  /// its requests are not ended: the calls on chains that contain it are
+  /// interrupted, and their handlers try other chains if they are silent.
   ///
   /// \param reason reason for the log.
-  void OnEndpointLost(const std::string& id,
-                      std::string_view reason,
-                      TimePoint now);
+  void OnEndpointSuspected(const std::string& id,
+                           std::string_view reason,
+                           TimePoint now);
 
  private:
   struct ServiceChains {
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -56,6 +56,11 @@
   std::string faulty_stage_address;
   std::optional<ReportedLoad> load;
 
+  [[nodiscard]] bool IsServerError() const noexcept {
+    constexpr unsigned kFirstServerError = 500;
+    return status >= kFirstServerError;
+  }
+
   /// Whether the body may be forwarded to the caller unchanged.
   [[nodiscard]] bool IsTrusted() const noexcept {
     return matches_request && (is_sealed || status >= 300);
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -28,6 +28,28 @@
   http::response_parser<http::string_body> parser;
   HttpFields fields;
   bool was_sent = false;
+  bool is_reading = false;
+  /// Whether a read is to be ended by `Interrupt`.
+  bool is_interrupt_requested = false;
+  bool was_interrupted = false;
+
+  /// Runs one read operation, which `Interrupt` may cancel.
+  ///
+  /// \param read starts the operation with a completion token.
+  template <class Read>
+  asio::awaitable<beast::error_code> RunRead(Read read) {
+    beast::error_code error = asio::error::operation_aborted;
+    was_interrupted = false;
+    if (!is_interrupt_requested) {
+      is_reading = true;
+      co_await read(asio::redirect_error(use_awaitable, error));
+      is_reading = false;
+    }
+    was_interrupted =
+        is_interrupt_requested && error == asio::error::operation_aborted;
+    is_interrupt_requested = false;
+    co_return error;
+  }
 };
 
 namespace {
@@ -135,11 +157,25 @@
     const HttpRequest& request,
     std::chrono::milliseconds connect_timeout,
     std::chrono::milliseconds header_timeout) {
+  const auto deadline = std::chrono::steady_clock::now() + header_timeout;
+  auto failure =
+      co_await Send(address, request, connect_timeout, header_timeout);
+  if (failure) {
+    co_return failure;
+  }
+  co_return co_await ReadHead(TimeUntil(deadline));
+}
+
+asio::awaitable<std::optional<Failure>> HttpCall::Send(
+    const std::string& address,
+    const HttpRequest& request,
+    std::chrono::milliseconds connect_timeout,
+    std::chrono::milliseconds timeout) {
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
   beast::tcp_stream& stream = state_->stream;
-  const auto deadline = std::chrono::steady_clock::now() + header_timeout;
-  stream.expires_after(std::min(connect_timeout, header_timeout));
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  stream.expires_after(std::min(connect_timeout, timeout));
   co_await stream.async_connect(impl::ParseAddress(address), token);
   if (error) {
     co_return ConnectFailure(address);
@@ -154,10 +190,18 @@
   }
   state_->parser.header_limit(kMaxHeaderBytes);
   state_->parser.body_limit(boost::none);
-  co_await http::async_read_header(stream, state_->buffer, state_->parser,
-                                   token);
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<Failure>> HttpCall::ReadHead(
+    std::chrono::milliseconds timeout) {
+  state_->stream.expires_after(timeout);
+  const beast::error_code error = co_await state_->RunRead([this](auto token) {
+    return http::async_read_header(state_->stream, state_->buffer,
+                                   state_->parser, token);
+  });
   if (error) {
-    co_return ExchangeFailure(error, address);
+    co_return ExchangeFailure(error, "header");
   }
   for (const auto& field : state_->parser.get()) {
     state_->fields.Add(std::string(field.name_string()),
@@ -166,6 +210,21 @@
   co_return std::nullopt;
 }
 
+void HttpCall::Interrupt() noexcept {
+  state_->is_interrupt_requested = true;
+  if (state_->is_reading) {
+    state_->stream.cancel();
+  }
+}
+
+void HttpCall::ClearInterrupt() noexcept {
+  state_->is_interrupt_requested = false;
+}
+
+bool HttpCall::was_interrupted() const noexcept {
+  return state_->was_interrupted;
+}
+
 void HttpCall::Abort() noexcept {
   state_->stream.close();
 }
@@ -185,16 +244,17 @@
 asio::awaitable<Result<std::optional<std::string>>> HttpCall::ReadSome(
     std::chrono::milliseconds timeout) {
   std::string& body = state_->parser.get().body();
-  beast::error_code error;
   if (timeout == kNoTimeout) {
     state_->stream.expires_never();
   } else {
     state_->stream.expires_after(timeout);
   }
   while (body.empty() && !state_->parser.is_done()) {
-    co_await http::async_read_some(state_->stream, state_->buffer,
-                                   state_->parser,
-                                   asio::redirect_error(use_awaitable, error));
+    const beast::error_code error =
+        co_await state_->RunRead([this](auto token) {
+          return http::async_read_some(state_->stream, state_->buffer,
+                                       state_->parser, token);
+        });
     if (error) {
       co_return ExchangeFailure(error, "body");
     }
@@ -214,6 +274,9 @@
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   for (;;) {
     auto bytes = co_await ReadSome(TimeUntil(deadline));
+    if (!bytes && was_interrupted()) {
+      continue;
+    }
     if (!bytes) {
       co_return bytes.error();
     }
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -201,31 +201,30 @@
   }
 }
 
-void RelayState::OnEndpointLost(const std::string& id,
-                                std::string_view reason,
-                                TimePoint now) {
+void RelayState::OnEndpointSuspected(const std::string& id,
+                                     std::string_view reason,
+                                     TimePoint now) {
   const KnownEndpoint* known = directory_.Find(id);
   const bool was_usable = known != nullptr && known->IsUsable(now);
   const Duration time = directory_.Suspect(id, now);
   if (was_usable && notify_peers_) {
     notify_peers_(id, std::nullopt);
   }
-  std::size_t aborted = 0;
-  for (ActiveAttempt& attempt : attempts_) {
+  std::size_t requests = 0;
+  for (const ActiveAttempt& attempt : attempts_) {
     const bool uses_endpoint = std::any_of(
         attempt.stages.begin(), attempt.stages.end(),
         [&](const ChainStage& stage) { return stage.endpoint.value() == id; });
-    if (uses_endpoint && !attempt.is_aborted) {
-      attempt.is_aborted = true;
-      attempt.call->Abort();
-      ++aborted;
+    if (uses_endpoint) {
+      attempt.call->Interrupt();
+      ++requests;
     }
   }
   LogEvent(Severity::kWarning, "endpoint_suspected")
       .With("endpoint", id)
       .With("reason", reason)
       .With("for_ms", time)
-      .With("requests_moved", aborted);
+      .With("requests", requests);
 }
 
 }  // namespace sycamoreford
