Test requests that cross the close of an idle connection

A client whose request crosses the close after the idle timeout, or after a stop, saw a regular end without a response or a reset: the server had read the request and dropped it. The same happened to a request that was pipelined with a stream during which the server stopped. A raised idle timeout did not hold for connections that were idle already, so that clients lost requests at the old one.

--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <poll.h>
+
 #include <array>
+#include <chrono>
 #include <string>
 
 #include <boost/asio/buffer.hpp>
@@ -43,6 +46,9 @@
   /// Reads until the peer closes and returns everything received so far.
   std::string ReadAll() { return ReadUntil(std::string(1, '\0')); }
 
+  /// Forgets everything received so far.
+  void DiscardReceived() { read_.clear(); }
+
   /// Reads once; whether the peer has ended the connection without a reset.
   bool IsClosed() {
     boost::system::error_code error;
@@ -51,6 +57,16 @@
     return error == boost::asio::error::eof;
   }
 
+  /// Waits until the peer resets the connection, also one whose sending side it
+  /// has shut down already.
+  ///
+  /// \returns false if it is not reset within `timeout`.
+  [[nodiscard]] bool WaitForReset(std::chrono::milliseconds timeout) {
+    pollfd polled{.fd = socket_.native_handle(), .events = 0, .revents = 0};
+    return ::poll(&polled, 1, static_cast<int>(timeout.count())) == 1 &&
+           (polled.revents & POLLERR) != 0;
+  }
+
   /// Whether the last `ReadUntil` ended with a connection reset.
   [[nodiscard]] bool was_reset() const noexcept { return was_reset_; }
 
