Test streams that go on beside a false alarm about their endpoint

A stream whose endpoint went on after 0.6 s was cut at the last event when an inspection of the endpoint was reset, ended without a response, came late, had status 503, was no report, showed another start than the directory, or named a stage that the stream waited for. It was also cut when another request got no connection at the same endpoint; a request there that was reset or refused did no harm. A request for an endpoint whose address cannot be parsed got status 500, again each time, though another endpoint was free.

--- a/tests/fakes/scripted_endpoint.cc
+++ b/tests/fakes/scripted_endpoint.cc
@@ -39,6 +39,9 @@
 EndpointStep FallSilent(std::chrono::milliseconds duration) {
   return {EndpointStep::Kind::kFallSilent, {}, duration};
 }
+EndpointStep StopListening() {
+  return {EndpointStep::Kind::kStopListening};
+}
 
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context& context)
     : context_(context),
@@ -75,6 +78,9 @@
 
 EndpointScript ScriptedEndpoint::NextScript(const HttpRequest& request) {
   if (request.target == "/report") {
+    if (!report_script.empty()) {
+      return report_script;
+    }
     if (report.empty()) {
       return {Reset()};
     }
@@ -161,6 +167,9 @@
       case EndpointStep::Kind::kFallSilent:
         silent_until_ = std::chrono::steady_clock::now() + step.duration;
         break;
+      case EndpointStep::Kind::kStopListening:
+        StopListening();
+        break;
     }
   }
 }
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -30,6 +30,8 @@
     kWaitForClose,
     /// Makes the whole endpoint silent for `duration`.
     kFallSilent,
+    /// Refuses all further connections.
+    kStopListening,
   };
   Kind kind = Kind::kSend;
   std::string bytes{};
@@ -48,6 +50,9 @@
 /// established by its operating system, as for a frozen process.
 [[nodiscard]] EndpointStep FallSilent(std::chrono::milliseconds duration);
 
+/// The endpoint refuses all further connections; those that are open go on.
+[[nodiscard]] EndpointStep StopListening();
+
 /// An endpoint that reads requests and responds according to a script, also
 /// with malformed bytes.
 ///
@@ -83,6 +88,8 @@
 
   /// Response body for `/report`; if empty, the connection is reset instead.
   std::string report = "{}";
+  /// Script for `/report`, instead of `report`, unless empty.
+  EndpointScript report_script;
 
  private:
   boost::asio::awaitable<void> Accept();
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -85,6 +85,13 @@
     state.directory().Remove(id, clock.Now(), Duration::zero());
   }
 
+  /// Changes the address in the record of an endpoint. Call before `Start`.
+  void SetAddress(const std::string& id, const std::string& address) {
+    EndpointRecord record = state.directory().Find(id)->record;
+    record.address = address;
+    state.directory().Upsert(record);
+  }
+
   /// Sends a request and reads until the connection is closed.
   ///
   /// \returns all bytes received.
