Leave a request that crosses the close of its connection unread

Callers that reused a kept connection just as it was closed got neither an answer nor a refusal: after the idle timeout, and at the end of a planned stop, the server shut its side down and then read and dropped whatever arrived for a second. The caller saw a regular end and could not tell that the request had not been processed. A change of the configuration that raised the idle timeout made such crossings likely, since connections that were idle already kept the shorter timeout.

Cause: one way to close for two situations. Reading on is right where the client was told that the connection ends; where it may be sending a request, the request must stay unread, so that the connection is reset and the client knows that nothing was processed. ServeRequests now says which it is. A request that had come in one piece with the one before is served. SetLimits extends the wait of idle connections and never shortens it.

--- a/include/sycamoreford/adapters/http_server.h
+++ b/include/sycamoreford/adapters/http_server.h
@@ -70,7 +70,8 @@
   [[nodiscard]] std::size_t open_connections() const noexcept;
 
   /// Replaces the limits. Requests that are being received keep the old size
-  /// limits, and their running timeouts are not changed.
+  /// limits, and their running timeouts are not changed. Idle connections wait
+  /// for the longest idle timeout that was in force since they became idle.
   /// Precondition: called by the only thread that runs the context.
   void SetLimits(HttpLimits limits);
 
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,5 +1,6 @@
 #include "sycamoreford/adapters/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <map>
@@ -61,6 +62,26 @@
     });
   }
 
+  /// Starts the wait for the next request.
+  void StartIdle(std::chrono::milliseconds timeout) {
+    is_idle = true;
+    idle_since = std::chrono::steady_clock::now();
+    idle_timeout = timeout;
+    SetReadTimeout(timeout);
+  }
+
+  /// Extends the wait for the next request, if it has not ended, to `timeout`
+  /// in total. It never gets shorter: the client may rely on the longer one.
+  void ExtendIdle(std::chrono::milliseconds timeout) {
+    if (!is_idle || timeout <= idle_timeout) {
+      return;
+    }
+    idle_timeout = timeout;
+    const auto time = idle_since + timeout - std::chrono::steady_clock::now();
+    SetReadTimeout(std::max(std::chrono::ceil<std::chrono::milliseconds>(time),
+                            std::chrono::milliseconds(0)));
+  }
+
   /// Cancels the read timeout.
   void ClearReadTimeout() {
     has_read_timeout = false;
@@ -72,6 +93,8 @@
   asio::steady_timer timer;
   /// Whether the connection waits for the first byte of a request.
   bool is_idle = false;
+  std::chrono::steady_clock::time_point idle_since;
+  std::chrono::milliseconds idle_timeout{0};
   bool has_read_timeout = false;
   bool timed_out = false;
 };
@@ -106,10 +129,19 @@
 
   /// Precondition: called on the only thread that runs the context, or before
   /// the first connection.
-  void SetLimits(HttpLimits changed) { limits = changed; }
+  void SetLimits(HttpLimits changed) {
+    limits = changed;
+    if (!closing) {
+      ForEachConnection(
+          [timeout = limits.idle_timeout](Connection& connection) {
+            connection.ExtendIdle(timeout);
+          });
+    }
+  }
 
   /// Runs `action` for each open connection on its strand.
-  void ForEachConnection(void (*action)(Connection&)) {
+  template <class Action>
+  void ForEachConnection(Action action) {
     const std::lock_guard lock(connections_mutex);
     for (const auto& [key, weak] : connections) {
       if (auto connection = weak.lock()) {
@@ -341,9 +373,8 @@
     co_return true;
   }
   tcp::socket& socket = connection.stream.socket();
-  connection.is_idle = true;
-  connection.SetReadTimeout(state->closing ? kCloseGrace
-                                           : state->limits.idle_timeout);
+  connection.StartIdle(state->closing ? kCloseGrace
+                                      : state->limits.idle_timeout);
   beast::error_code error;
   co_await socket.async_wait(tcp::socket::wait_read,
                              asio::redirect_error(use_awaitable, error));
@@ -466,30 +497,47 @@
   co_await exchange.Respond(std::move(response));
 }
 
+/// Serves requests until the connection is to be closed.
+///
+/// \returns whether the client was told that no further request is processed;
+///     otherwise it may be sending one.
+template <class State>
+asio::awaitable<bool> ServeRequests(const std::shared_ptr<State>& state,
+                                    Connection& connection) {
+  for (;;) {
+    const bool has_request = co_await WaitForRequest(state, connection);
+    if (!has_request) {
+      co_return false;
+    }
+    const bool keep_open = co_await ServeRequest(state, connection);
+    if (!keep_open) {
+      co_return true;
+    }
+    if (state->closing && connection.buffer.size() == 0) {
+      // The response was sent with keep-alive before `Close` was called. A
+      // further request might not finish before the drain deadline.
+      co_return false;
+    }
+  }
+}
+
 template <class State>
 asio::awaitable<void> ServeConnection(std::shared_ptr<State> state,
                                       std::shared_ptr<Connection> connection) {
   beast::error_code ignored;
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
   try {
-    bool keep_open = state->connection_count <= state->limits.max_connections;
-    if (!keep_open) {
+    bool is_end_announced = true;
+    if (state->connection_count <= state->limits.max_connections) {
+      is_end_announced = co_await ServeRequests(state, *connection);
+    } else {
       co_await RejectConnection(state, *connection);
     }
-    while (keep_open) {
-      keep_open = co_await WaitForRequest(state, *connection);
-      if (!keep_open) {
-        break;
-      }
-      keep_open = co_await ServeRequest(state, *connection);
-      if (keep_open && state->closing) {
-        // The response was sent with keep-alive before `Close` was called. A
-        // further request might not finish before the drain deadline.
-        co_await CloseWithoutReading(connection->stream);
-        keep_open = false;
-      }
+    if (is_end_announced) {
+      co_await LingeringClose(connection->stream);
+    } else {
+      co_await CloseWithoutReading(connection->stream);
     }
-    co_await LingeringClose(connection->stream);
   } catch (const std::exception& error) {
     LogEvent(Severity::kDebug, "connection_ended").With("reason", error.what());
   }
