Build chains from the configuration in force for old requests too

After a change of a model's profile, a request that had arrived before the change and was sent again built the chains from its old profile and stored them under the new revision. All later requests used them, with layers, memory and pace of the old profile, until the list of endpoints changed: endpoints refused them, or they were refused here.

Both now come from the configuration in force; the request's own service counts only if it was removed since.

--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -66,8 +66,10 @@
   /// The selector for the current chains of a service. Rebuilds them if the
   /// endpoints or the configuration have changed, or a suspicion has ended.
   ///
+  /// \param requested the service as the request knows it; the configuration in
+  ///     force decides unless it no longer contains the service.
   /// Precondition: the service has an engine, and a configuration is in force.
-  [[nodiscard]] ChainSelector& ChainSelectorFor(const RelayService& service,
+  [[nodiscard]] ChainSelector& ChainSelectorFor(const RelayService& requested,
                                                 TimePoint now);
 
   /// The retry budget of a service.
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -81,8 +81,11 @@
   return true;
 }
 
-ChainSelector& RelayState::ChainSelectorFor(const RelayService& service,
+ChainSelector& RelayState::ChainSelectorFor(const RelayService& requested,
                                             TimePoint now) {
+  const RelayService* in_force = manifest_->FindService(requested.name);
+  const RelayService& service =
+      in_force != nullptr && in_force->engine ? *in_force : requested;
   const auto [entry, is_new] = chains_.try_emplace(
       service.name, ServiceChains{.selector = ChainSelector(data_centre_)});
   ServiceChains& cached = entry->second;
