Treat an address that cannot be parsed as a failed connection

An entry in the list of endpoints with an unusable address made each request for it fail with 500, or truncated a stream that was resumed there, and the endpoint was never suspected; its inspection stayed pending for good. The exception of the address parser left the call through the handler. It is now a failed connection: nothing was sent, the endpoint is suspected, and the request goes elsewhere.

Sections of relay_false_alarm_test failed before with 500.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -175,8 +175,14 @@
   auto token = asio::redirect_error(use_awaitable, error);
   beast::tcp_stream& stream = state_->stream;
   const auto deadline = std::chrono::steady_clock::now() + timeout;
+  asio::ip::tcp::endpoint endpoint;
+  try {
+    endpoint = impl::ParseAddress(address);
+  } catch (const std::system_error&) {
+    co_return ConnectFailure(address);
+  }
   stream.expires_after(std::min(connect_timeout, timeout));
-  co_await stream.async_connect(impl::ParseAddress(address), token);
+  co_await stream.async_connect(endpoint, token);
   if (error) {
     co_return ConnectFailure(address);
   }
