Do not lose an interruption that meets arriving bytes

HttpCall::Interrupt promises to end the running or otherwise the next wait, but one that arrived in the same turn as bytes was dropped. A request whose bytes completed no event then went on waiting although another chain had already gone on in its place. The request to interrupt now stays until it has ended a wait. Found in review, by reading; the relay tests pass as before.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -47,7 +47,8 @@
     }
     was_interrupted =
         is_interrupt_requested && error == asio::error::operation_aborted;
-    is_interrupt_requested = false;
+    // A read that has succeeded nonetheless leaves the next one to be ended.
+    is_interrupt_requested = is_interrupt_requested && !error;
     co_return error;
   }
 };
