Keep a connection alive until its linger timer has ended

The timer that bounds CloseWithoutReading held a reference to the connection's socket. If the client's close and the end of the timer were handled in the same turn, the connection was destroyed first and the timer cancelled a destroyed socket. Every idle close goes this way since requests that cross it are left unread. The connection's own timer, which holds it weakly, now bounds the wait. Found in review, by reading; idle_close_test passes as before.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -401,20 +401,15 @@
 /// Closes a persistent connection on which the client may be sending its next
 /// request. The request is left unread, so that the connection is reset and the
 /// client knows that the request was not processed.
-asio::awaitable<void> CloseWithoutReading(beast::tcp_stream& stream) {
-  tcp::socket& socket = stream.socket();
+asio::awaitable<void> CloseWithoutReading(
+    std::shared_ptr<Connection> connection) {
+  tcp::socket& socket = connection->stream.socket();
   beast::error_code error;
   socket.shutdown(tcp::socket::shutdown_send, error);
-  asio::steady_timer timer(socket.get_executor(), kLingerTimeout);
-  timer.async_wait([&socket](beast::error_code ended) {
-    beast::error_code ignored;
-    if (!ended) {
-      socket.cancel(ignored);
-    }
-  });
+  connection->SetReadTimeout(kLingerTimeout);
   co_await socket.async_wait(tcp::socket::wait_read,
                              asio::redirect_error(use_awaitable, error));
-  timer.cancel();
+  connection->ClearReadTimeout();
   socket.close(error);
 }
 
@@ -536,7 +531,7 @@
     if (is_end_announced) {
       co_await LingeringClose(connection->stream);
     } else {
-      co_await CloseWithoutReading(connection->stream);
+      co_await CloseWithoutReading(connection);
     }
   } catch (const std::exception& error) {
     LogEvent(Severity::kDebug, "connection_ended").With("reason", error.what());
