Count a successor that was abandoned among the endpoints tried

When a silent attempt went on after all, the successor that had been sent meanwhile was dropped without being remembered. A second silence could then send the request to one endpoint more than the route's max_attempts. An attempt that goes into the reserve no longer counts as load either, as the one that took its place does.

--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -644,7 +644,11 @@
       attempt->ClearInterrupt();
       if (IsGoingOn(*attempt, step)) {
         attempt->ResumeLoad();
-        context.sends -= other->was_sent() ? 0 : 1;
+        if (other->was_sent()) {
+          context.tried_endpoints.insert(other->first_endpoint());
+        } else {
+          --context.sends;
+        }
         LogSilence(context, *attempt, "went_on");
         co_return step;
       }
@@ -659,6 +663,7 @@
         LogSilence(context, *attempt, "replaced");
         RecordFailedSend(context, AttemptStep::kLost,
                          attempt->first_endpoint());
+        attempt->SuspendLoad();
         reserve.Keep(attempt);
       } else {
         OnAttemptFailed(context, *other, *task.result());
