Keep an overdue request in flight at its endpoint

A plain request that had waited for the target latency was taken out of its endpoint's count of requests in flight although the endpoint still worked on it, so that the slowest endpoints looked idle under load; and an endpoint counted as failed where no further one was allowed. Overdue requests now count until they end, and only where another endpoint may be tried. Found in review, by reading; relay_decisions_test and the relay tests pass.

--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -87,7 +87,13 @@
 
   /// Reports the endpoint to the selector as too slow, while the attempt goes
   /// on.
-  void OnOverdue() { Report(false); }
+  void OnOverdue() {
+    if (!is_overdue_ && !is_reported_) {
+      is_overdue_ = true;
+      const TimePoint now = clock_.Now();
+      selector_.OnOverdue(options_.endpoint, now, now - started_at_);
+    }
+  }
 
   /// Closes the connection. A running call of `Run` ends.
   void Abandon() noexcept {
@@ -109,8 +115,7 @@
     return options_.endpoint;
   }
   [[nodiscard]] TimePoint started_at() const noexcept { return started_at_; }
-  /// Whether its result was reported to the selector.
-  [[nodiscard]] bool is_reported() const noexcept { return is_reported_; }
+  [[nodiscard]] bool is_overdue() const noexcept { return is_overdue_; }
   /// Precondition: the head of the response has arrived.
   [[nodiscard]] const ResponseHead& head() const noexcept { return head_; }
   /// The reason of `kNotSent` or `kLost`.
@@ -130,7 +135,9 @@
   }
 
   void Report(bool ok) {
-    if (!is_reported_) {
+    if (is_overdue_) {
+      Leave();
+    } else if (!is_reported_) {
       is_reported_ = true;
       const TimePoint now = clock_.Now();
       selector_.OnResponse(options_.endpoint, now, now - started_at_, ok);
@@ -149,7 +156,9 @@
   EndpointAttemptOptions options_;
   TimePoint started_at_;
   HttpCall call_;
+  /// Whether the attempt no longer counts as in flight.
   bool is_reported_ = false;
+  bool is_overdue_ = false;
   ResponseHead head_;
   std::string body_;
   Failure failure_;
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -323,11 +323,18 @@
     co_await Refuse(exchange, context, FinalRefusal(context));
   }
 
+  /// Whether the request may be sent to a further endpoint while others run it.
+  [[nodiscard]] static bool MayTryFurtherEndpoint(
+      const RequestContext& context) {
+    return context.MayRunAgain() &&
+           context.tried_endpoints.size() < context.route->max_attempts;
+  }
+
   /// Whether no attempt is expected to respond in time.
   [[nodiscard]] static bool AreAllOverdue(const PendingAttempts& pending) {
     return std::all_of(
         pending.attempts.begin(), pending.attempts.end(),
-        [](const PendingAttempt& it) { return it.attempt->is_reported(); });
+        [](const PendingAttempt& it) { return it.attempt->is_overdue(); });
   }
 
   /// Time until the newest attempt is overdue; the time left if the request
@@ -337,7 +344,7 @@
       const PendingAttempts& pending) const {
     const TimePoint now = clock_.Now();
     const ToEndpoint& newest = *pending.attempts.back().attempt;
-    if (!context.MayRunAgain() || newest.is_reported()) {
+    if (!MayTryFurtherEndpoint(context) || newest.is_overdue()) {
       return std::max(context.TimeLeft(now), relay::kMinTimeLeft);
     }
     return std::max(
@@ -351,7 +358,7 @@
                      const PendingAttempts& pending) const {
     const TimePoint now = clock_.Now();
     for (const PendingAttempt& it : pending.attempts) {
-      if (context.MayRunAgain() &&
+      if (MayTryFurtherEndpoint(context) &&
           now - it.attempt->started_at() >= context.route->target_latency) {
         it.attempt->OnOverdue();
       }
--- a/include/sycamoreford/relay/service_selector.h
+++ b/include/sycamoreford/relay/service_selector.h
@@ -40,6 +40,8 @@
   void OnSent(const std::string& id);
   /// Called for a response; `ok` tells whether it counts as a success.
   void OnResponse(const std::string& id, TimePoint now, Duration time, bool ok);
+  /// Called when a request, which stays in flight, has taken too long.
+  void OnOverdue(const std::string& id, TimePoint now, Duration time);
   /// Called when a request ended without a result that can be attributed to the
   /// endpoint.
   void OnEnded(const std::string& id);
@@ -52,6 +54,10 @@
     TimePoint updated_at{};
   };
 
+  void RecordResult(EndpointScore& score,
+                    TimePoint now,
+                    Duration time,
+                    bool ok) const;
   [[nodiscard]] double FailureRateAt(const EndpointScore& score,
                                      TimePoint now) const;
 
--- a/src/relay/service_selector.cc
+++ b/src/relay/service_selector.cc
@@ -74,6 +74,19 @@
                                  bool ok) {
   EndpointScore& score = scores_[id];
   score.in_flight -= score.in_flight > 0 ? 1 : 0;
+  RecordResult(score, now, time, ok);
+}
+
+void ServiceSelector::OnOverdue(const std::string& id,
+                                TimePoint now,
+                                Duration time) {
+  RecordResult(scores_[id], now, time, false);
+}
+
+void ServiceSelector::RecordResult(EndpointScore& score,
+                                   TimePoint now,
+                                   Duration time,
+                                   bool ok) const {
   const double ms = std::chrono::duration<double, std::milli>(time).count();
   score.response_ms =
       score.response_ms <= 0
