Try other chains again for a silent stream, and let go of a dead one

Callers of streams whose chain had gone dark for good, with no other chain free at that moment, were held until their deadline: other chains were tried only when an endpoint was suspected anew, and the attempt counted as load meanwhile.

Silent requests are now tried elsewhere every 250 ms until something arrives. One that has been silent for 2 s, longer than a sound endpoint, is given up if the list of endpoints confirms that a stage of its chain is gone or was started anew; silence alone still ends nothing.

relay_silence_test "a stream of a silent endpoint is not held until its deadline" failed before in both sections (1.83 s instead of 1.25 s, and 5.0 s instead of 2.0 s) and passes now.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -55,7 +56,11 @@
         clock_(clock),
         selector_(state.ChainSelectorFor(service, clock.Now())),
         options_(std::move(options)),
-        call_(executor) {
+        call_(executor),
+        sent_at_(clock.Now()) {
+    for (const ChainStage& stage : options_.stages) {
+      stage_runs_.push_back(RunOf(stage));
+    }
     registration_ = state_.AddAttempt({.request_id = options_.request_id,
                                        .stages = options_.stages,
                                        .call = &call_});
@@ -116,6 +121,14 @@
     Leave();
   }
 
+  /// Closes the connection because the chain is gone.
+  void GiveUp() {
+    Abandon();
+    failure_ = {.code = Errc::kStalled,
+                .outcome = Outcome::kUnknown,
+                .where = "a stage is gone"};
+  }
+
   /// Stops counting as load on the chain while a successor is tried; one of the
   /// two ends soon.
   void SuspendLoad() {
@@ -141,6 +154,20 @@
   [[nodiscard]] bool HasReceivedSince(TimePoint time) const noexcept {
     return last_received_at_ && *last_received_at_ >= time;
   }
+  /// Time since the last part of the response arrived, or since it was sent.
+  [[nodiscard]] Duration SilenceAt(TimePoint now) const noexcept {
+    return now - last_received_at_.value_or(sent_at_);
+  }
+  /// Whether a stage of the chain has left the list of endpoints, or started
+  /// anew, since the request was sent.
+  [[nodiscard]] bool HasLostStage() const {
+    return !std::equal(stage_runs_.begin(), stage_runs_.end(),
+                       options_.stages.begin(), options_.stages.end(),
+                       [&](const auto& run, const ChainStage& stage) {
+                         return run && run == RunOf(stage);
+                       });
+  }
+
   /// Continues after the events that other attempts have delivered meanwhile.
   void SkipTo(const EventSplitter& delivered) {
     options_.position.SkipTo(delivered);
@@ -170,6 +197,15 @@
                     std::chrono::milliseconds(0));
   }
 
+  /// Start of the listed run of a stage; nothing if it is not listed.
+  [[nodiscard]] std::optional<std::uint64_t> RunOf(
+      const ChainStage& stage) const {
+    const KnownEndpoint* known =
+        state_.directory().Find(stage.endpoint.value());
+    return known == nullptr ? std::nullopt
+                            : std::optional(known->record.started_at_ms);
+  }
+
   /// Whether the response is a stream that may be forwarded.
   [[nodiscard]] bool IsStream() const {
     constexpr unsigned kOk = 200;
@@ -179,6 +215,7 @@
   void OnProgress() {
     if (registration_) {
       last_received_at_ = clock_.Now();
+      (*registration_)->next_interrupt_at.reset();
       state_.stall_detector().OnProgress(first_endpoint(), *last_received_at_);
     }
   }
@@ -232,7 +269,11 @@
   HttpCall call_;
   /// Empty when the attempt no longer counts as in flight.
   std::optional<std::list<ActiveAttempt>::iterator> registration_;
+  /// Start of the run of each stage when the request was sent.
+  std::vector<std::optional<std::uint64_t>> stage_runs_;
   bool counts_as_load_ = true;
+  TimePoint sent_at_;
+  /// When the last part of the response arrived.
   std::optional<TimePoint> last_received_at_;
   bool is_started_ = false;
   bool has_head_ = false;
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -37,6 +37,7 @@
     for (;;) {
       co_await Pause(kPollInterval);
       const TimePoint now = clock_.Now();
+      state_.InterruptSilentAttempts(now);
       for (const std::string& first :
            state_.stall_detector().ChainsToInspect(now)) {
         // All stages are asked: the first endpoint notices a stall only after a
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -28,6 +28,9 @@
   Chain stages;
   /// The call to the first endpoint. Outlives this object.
   HttpCall* call = nullptr;
+  /// Set while a stage is suspected and nothing has arrived since: when `call`
+  /// is interrupted again.
+  std::optional<TimePoint> next_interrupt_at{};
 };
 
 /// State of a daemon that its requests and background loops share.
@@ -142,6 +145,10 @@
                            std::string_view reason,
                            TimePoint now);
 
+  /// Interrupts the calls that are silent since a suspicion from time to time,
+  /// since chains that can take their requests may have become available.
+  void InterruptSilentAttempts(TimePoint now);
+
  private:
   struct ServiceChains {
     ChainSelector selector;
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -14,6 +14,10 @@
 /// large.
 constexpr std::uint32_t kAssumedDaemonCount = 12;
 
+/// Interval at which other chains are tried for a silent request: several times
+/// within the second for which a sound endpoint may be silent.
+constexpr std::chrono::milliseconds kSilenceInterval{250};
+
 std::string Describe(const Chain& stages) {
   std::string text;
   for (const ChainStage& stage : stages) {
@@ -214,11 +218,12 @@
     notify_peers_(id, std::nullopt);
   }
   std::size_t requests = 0;
-  for (const ActiveAttempt& attempt : attempts_) {
+  for (ActiveAttempt& attempt : attempts_) {
     const bool uses_endpoint = std::any_of(
         attempt.stages.begin(), attempt.stages.end(),
         [&](const ChainStage& stage) { return stage.endpoint.value() == id; });
     if (uses_endpoint) {
+      attempt.next_interrupt_at = now + kSilenceInterval;
       attempt.call->Interrupt();
       ++requests;
     }
@@ -230,4 +235,13 @@
       .With("requests", requests);
 }
 
+void RelayState::InterruptSilentAttempts(TimePoint now) {
+  for (ActiveAttempt& attempt : attempts_) {
+    if (attempt.next_interrupt_at && now >= *attempt.next_interrupt_at) {
+      attempt.next_interrupt_at = now + kSilenceInterval;
+      attempt.call->Interrupt();
+    }
+  }
+}
+
 }  // namespace sycamoreford
--- a/tests/relay_silence_test.cc
+++ b/tests/relay_silence_test.cc
@@ -184,6 +184,46 @@
   REQUIRE(std::chrono::steady_clock::now() - started_at < milliseconds(1'500));
 }
 
+/// Runs `action` on the relay's thread after `delay`.
+template <class Action>
+void RunLater(RelayFixture& fixture, milliseconds delay, Action action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(fixture.context);
+  timer->expires_after(delay);
+  timer->async_wait([timer, action](const auto&) { action(); });
+}
+
+TEST_CASE("a stream of a silent endpoint is not held until its deadline") {
+  RelayFixture fixture;
+  fixture.WatchChains();
+  fixture.model_1.AddScript({Send(StreamHead() + Part(Event(0))),
+                             FallSilent(kForever), WaitForClose()});
+  fixture.model_2.SetResponder(RestOfStream);
+  const EndpointRecord other = fixture.state.directory().Find("m2")->record;
+  fixture.Remove("m2");
+  const auto started_at = std::chrono::steady_clock::now();
+
+  SECTION("when another chain becomes available later") {
+    RunLater(fixture, milliseconds(1'000),
+             [&] { fixture.state.directory().Upsert(other); });
+    fixture.Start();
+    RequireWholeStream(FetchStream(fixture));
+    REQUIRE(std::chrono::steady_clock::now() - started_at <
+            milliseconds(1'800));
+  }
+  SECTION("when the endpoint is no longer listed") {
+    RunLater(fixture, milliseconds(500), [&] {
+      fixture.state.directory().Remove("m1", fixture.clock.Now(),
+                                       Duration::zero());
+    });
+    const std::string path = GENERATE("/stream/1", "/stream-once/1");
+    fixture.Start();
+    REQUIRE_FALSE(FetchStream(fixture, path).is_complete);
+    const auto time = std::chrono::steady_clock::now() - started_at;
+    REQUIRE(time >= milliseconds(2'000));
+    REQUIRE(time < milliseconds(3'000));
+  }
+}
+
 TEST_CASE(
     "a resumable stream survives a silence and a failure after it moved") {
   RelayFixture fixture;
