Bound the silence of a chain by the time after which its work is dead

Streams on a chain with a dark card were still held, and kept layers from being loaded anew, until the caller gave up: the list of endpoints does not confirm a crash of four seconds, and an attempt in reserve was held as long as its successor ran. An attempt now ends after 2 s of silence, the time after which endpoints end work that depends on a dead one, if a stage of its chain does not respond to inspections either, is no longer listed or was started anew. A chain whose stages respond is merely slow and is waited for as before. ChainAttempt decides it, so that it holds for attempts at work, in a race and in reserve alike.

relay_silence_test "when the endpoint responds to nothing for much longer" fails without it (held until the deadline). What is left of the loss is open: repairs wait for work on silent chains.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -31,6 +31,8 @@
   double tokens = 0;
   TimePoint deadline{};
   std::chrono::milliseconds connect_timeout{0};
+  /// Silence after which the attempt ends if a stage does not respond either.
+  std::chrono::milliseconds max_silence{0};
   /// Whether the response is expected to be a stream of events.
   bool streams = false;
   /// Position in the stream after which this attempt goes on.
@@ -72,6 +74,7 @@
   ~ChainAttempt() { Leave(); }
 
   /// Sends the request if that was not done yet, and waits for what comes next.
+  /// Silence ends the attempt only if it lasts and a stage does not respond.
   ///
   /// Precondition: no step but `kStreamBegun`, `kEvents` and `kInterrupted` was
   /// returned before.
@@ -121,14 +124,6 @@
     Leave();
   }
 
-  /// Closes the connection because the chain is gone.
-  void GiveUp() {
-    Abandon();
-    failure_ = {.code = Errc::kStalled,
-                .outcome = Outcome::kUnknown,
-                .where = "a stage is gone"};
-  }
-
   /// Stops counting as load on the chain while a successor is tried; one of the
   /// two ends soon.
   void SuspendLoad() {
@@ -154,20 +149,6 @@
   [[nodiscard]] bool HasReceivedSince(TimePoint time) const noexcept {
     return last_received_at_ && *last_received_at_ >= time;
   }
-  /// Time since the last part of the response arrived, or since it was sent.
-  [[nodiscard]] Duration SilenceAt(TimePoint now) const noexcept {
-    return now - last_received_at_.value_or(sent_at_);
-  }
-  /// Whether a stage of the chain has left the list of endpoints, or started
-  /// anew, since the request was sent.
-  [[nodiscard]] bool HasLostStage() const {
-    return !std::equal(stage_runs_.begin(), stage_runs_.end(),
-                       options_.stages.begin(), options_.stages.end(),
-                       [&](const auto& run, const ChainStage& stage) {
-                         return run && run == RunOf(stage);
-                       });
-  }
-
   /// Continues after the events that other attempts have delivered meanwhile.
   void SkipTo(const EventSplitter& delivered) {
     options_.position.SkipTo(delivered);
@@ -197,6 +178,33 @@
                     std::chrono::milliseconds(0));
   }
 
+  AttemptStep OnInterrupted() {
+    if (!HasDied(clock_.Now())) {
+      return AttemptStep::kInterrupted;
+    }
+    Abandon();
+    failure_ = {.code = Errc::kStalled,
+                .outcome = Outcome::kUnknown,
+                .where = "a stage does not respond"};
+    return AttemptStep::kLost;
+  }
+
+  /// Whether the chain has been silent for longer than a sound one, and a stage
+  /// of it does not respond, is no longer listed or was started anew.
+  [[nodiscard]] bool HasDied(TimePoint now) const {
+    const Duration silence = now - last_received_at_.value_or(sent_at_);
+    const auto is_present = [&](const auto& run, const ChainStage& stage) {
+      const KnownEndpoint* known =
+          state_.directory().Find(stage.endpoint.value());
+      return known != nullptr && run == RunOf(stage) &&
+             known->suspected_until <= now;
+    };
+    return silence >= options_.max_silence &&
+           !std::equal(stage_runs_.begin(), stage_runs_.end(),
+                       options_.stages.begin(), options_.stages.end(),
+                       is_present);
+  }
+
   /// Start of the listed run of a stage; nothing if it is not listed.
   [[nodiscard]] std::optional<std::uint64_t> RunOf(
       const ChainStage& stage) const {
@@ -246,7 +254,7 @@
 
   AttemptStep OnFailure(const Failure& failure) {
     if (call_.was_interrupted()) {
-      return AttemptStep::kInterrupted;
+      return OnInterrupted();
     }
     failure_ = failure;
     return call_.was_sent() ? AttemptStep::kLost : AttemptStep::kNotSent;
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -43,8 +43,8 @@
 /// A chain from which something has arrived within this time is not silent; of
 /// the order of the longest pause between the events of a chain at work.
 inline constexpr std::chrono::milliseconds kMinSilence{100};
-/// A chain that has been silent for longer is not sound if a stage of it is no
-/// longer listed. A sound endpoint is silent for about a second.
+/// A sound endpoint is silent for about a second. The endpoints themselves end
+/// work that depends on a dead one after this time.
 inline constexpr std::chrono::milliseconds kMaxSoundSilence{2'000};
 /// Maximum size of a response that is buffered before it is forwarded.
 inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
@@ -606,6 +606,7 @@
                             .tokens = tokens,
                             .deadline = context.deadline,
                             .connect_timeout = relay::kConnectTimeout,
+                            .max_silence = relay::kMaxSoundSilence,
                             .streams = context.route->streams,
                             .position = std::move(position)});
   }
@@ -626,7 +627,7 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     for (;;) {
       if (!MayTryOthers(context, *attempt)) {
-        co_return GiveUpIfLost(context, *attempt);
+        co_return AttemptStep::kInterrupted;
       }
       auto other =
           OpenSuccessor(executor, exchange.request(), context, *attempt);
@@ -636,7 +637,7 @@
       }
       if (!other) {
         LogSilence(context, *attempt, context.last_denial);
-        co_return GiveUpIfLost(context, *attempt);
+        co_return AttemptStep::kInterrupted;
       }
       AbandonGuard guard(*other);
       WakeSignal ended(executor);
@@ -696,20 +697,6 @@
     return context.MayRunAgain();
   }
 
-  /// Ends an attempt that has been silent for longer than a sound endpoint, if
-  /// the list of endpoints confirms that one of its chain is gone.
-  ///
-  /// \returns `kLost` if it was ended, otherwise `kInterrupted`.
-  AttemptStep GiveUpIfLost(RequestContext& context, ToChain& attempt) const {
-    if (attempt.SilenceAt(clock_.Now()) < relay::kMaxSoundSilence ||
-        !attempt.HasLostStage()) {
-      return AttemptStep::kInterrupted;
-    }
-    LogSilence(context, attempt, "given_up");
-    attempt.GiveUp();
-    return AttemptStep::kLost;
-  }
-
   /// Takes the attempt in reserve, to go on after `position`.
   boost::asio::awaitable<std::shared_ptr<ToChain>> TakeReserve(
       Reserve& reserve,
--- a/tests/relay_silence_test.cc
+++ b/tests/relay_silence_test.cc
@@ -210,6 +210,14 @@
     REQUIRE(std::chrono::steady_clock::now() - started_at <
             milliseconds(1'800));
   }
+  SECTION("when the endpoint responds to nothing for much longer") {
+    const std::string path = GENERATE("/stream/1", "/stream-once/1");
+    fixture.Start();
+    REQUIRE_FALSE(FetchStream(fixture, path).is_complete);
+    const auto time = std::chrono::steady_clock::now() - started_at;
+    REQUIRE(time >= milliseconds(2'000));
+    REQUIRE(time < milliseconds(3'000));
+  }
   SECTION("when the endpoint is no longer listed") {
     RunLater(fixture, milliseconds(500), [&] {
       fixture.state.directory().Remove("m1", fixture.clock.Now(),
