--- a/tests/idle_close_test.cc
+++ b/tests/idle_close_test.cc
@@ -26,6 +26,9 @@
 /// Less than the time for which a server waits for the client's close.
 constexpr milliseconds kResetTimeout{600};
 
+/// The time for which a server waits for the client's close.
+constexpr milliseconds kLingerTimeout{1'000};
+
 /// Duration of a stream.
 constexpr milliseconds kStreamTime{200};
 const std::string kStreamRequest =
@@ -57,6 +60,11 @@
     done.get_future().wait();
   }
 
+  /// Keeps the server's thread busy. Returns at once.
+  void Block(milliseconds time) {
+    boost::asio::post(context_, [time] { std::this_thread::sleep_for(time); });
+  }
+
   [[nodiscard]] HttpServer& server() { return server_; }
   [[nodiscard]] int answer_count() const { return answer_count_; }
 
@@ -134,6 +142,19 @@
   }
 }
 
+TEST_CASE("a client's close may coincide with the end of the wait for it") {
+  AnsweringServer server(milliseconds(100));
+  {
+    RawConnection connection(server.server().address());
+    connection.ReadAll();
+    std::this_thread::sleep_for(kLingerTimeout - milliseconds(100));
+    server.Block(milliseconds(300));
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  RawConnection other(server.server().address());
+  REQUIRE(IsAnswered(other, kRequest));
+}
+
 TEST_CASE("a request after a stream during which the server stopped") {
   AnsweringServer server(milliseconds(5'000));
   RawConnection connection(server.server().address());
--- a/tests/relay_silence_test.cc
+++ b/tests/relay_silence_test.cc
@@ -215,6 +215,38 @@
   }
 }
 
+TEST_CASE(
+    "a stream that is silent twice stays within its number of endpoints") {
+  RelayFixture fixture;
+  fixture.AddThirdModel();
+  fixture.WatchChains();
+  fixture.model_1.AddScript({Send(StreamHead() + Part(Event(0))),
+                             FallSilent(kSilence), Send(Part(Event(1))),
+                             FallSilent(kSilence),
+                             Send(Part(Event(2)) + BodyEnd()), WaitForClose()});
+  // Suspected as well when the stream falls silent again.
+  fixture.model_2.AddScript({FallSilent(kForever), WaitForClose()});
+  fixture.model_3.AddScript({FallSilent(kForever), WaitForClose()});
+  fixture.Start([](RelayRoute& route) { route.max_attempts = 2; });
+  RequireWholeStream(FetchStream(fixture));
+  REQUIRE(fixture.model_1.requests().size() == 1);
+  const std::size_t others = (fixture.model_2.requests().empty() ? 0 : 1) +
+                             (fixture.model_3.requests().empty() ? 0 : 1);
+  REQUIRE(others == 1);
+}
+
+TEST_CASE("a stream leaves a silent chain that replaced a broken one") {
+  RelayFixture fixture;
+  fixture.AddThirdModel();
+  fixture.WatchChains();
+  fixture.model_1.AddScript({Send(StreamHead() + Part(Event(0))),
+                             FallSilent(milliseconds(700)), Reset()});
+  fixture.model_2.AddScript({FallSilent(kForever), WaitForClose()});
+  fixture.model_3.SetResponder(RestOfStream);
+  fixture.Start([](RelayRoute& route) { route.max_attempts = 3; });
+  RequireWholeStream(FetchStream(fixture));
+}
+
 void RequireBooked(const ReceivedResponse& response) {
   REQUIRE(response.status == "200");
   REQUIRE(response.body == "booked");
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -75,6 +75,10 @@
     thread_ = std::thread([this] { context.run(); });
   }
 
+  /// Adds a third endpoint that holds all layers of the model, in a data centre
+  /// of its own. Call before `Start`.
+  void AddThirdModel() { AddModel("m3", "west", model_3); }
+
   /// Runs the inspector of stalled chains. Call before `Start`.
   void WatchChains() {
     boost::asio::co_spawn(context, inspector.Watch(), boost::asio::detached);
@@ -119,6 +123,7 @@
   fakes::ScriptedEndpoint plain_2{context};
   fakes::ScriptedEndpoint model_1{context};
   fakes::ScriptedEndpoint model_2{context};
+  fakes::ScriptedEndpoint model_3{context};
   SteadyClock clock;
   RelayState state{"north", RetryLimits{.ratio = 0.2, .extra = 100}};
   platform::EndpointClient control;
