Let a successor be replaced once the attempt before it has failed

Interruptions of a successor were ignored until its first event, so a request whose first chain broke waited for a silent second one until its deadline.

--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -641,12 +641,13 @@
       }
       AbandonGuard guard(*other);
       WakeSignal ended(executor);
-      const BackgroundTask<AttemptStep> task(executor, FirstProgress(other),
-                                             AttemptStep::kLost,
-                                             [&ended, &current = *attempt] {
-                                               ended.Notify();
-                                               current.Interrupt();
-                                             });
+      const auto is_wanted = std::make_shared<bool>(false);
+      const BackgroundTask<AttemptStep> task(
+          executor, FirstProgress(other, is_wanted), AttemptStep::kLost,
+          [&ended, &current = *attempt] {
+            ended.Notify();
+            current.Interrupt();
+          });
       AttemptStep step = AttemptStep::kInterrupted;
       while (step == AttemptStep::kInterrupted && !task.result()) {
         step = co_await attempt->Next();
@@ -665,11 +666,15 @@
       }
       if (step != AttemptStep::kInterrupted) {
         OnAttemptFailed(context, *attempt, step);
+        // The caller of this function can leave the other one if it is silent.
+        *is_wanted = true;
+        other->Interrupt();
         while (!task.result()) {
           co_await ended.Wait(context.TimeLeft(clock_.Now()) +
                               relay::kMinTimeLeft);
           co_await ThrowIfCallerGone();
         }
+        other->ClearInterrupt();
       } else if (IsGoingOn(*other, *task.result())) {
         LogSilence(context, *attempt, "replaced");
         RecordFailedSend(context, AttemptStep::kLost,
@@ -726,11 +731,13 @@
     ToChain* attempt_;
   };
 
-  /// The first step of an attempt that decides whether it goes on.
+  /// The first step of an attempt that decides whether it goes on;
+  /// `kInterrupted` if it is interrupted when `is_wanted` is set.
   static boost::asio::awaitable<AttemptStep> FirstProgress(
-      std::shared_ptr<ToChain> attempt) {
+      std::shared_ptr<ToChain> attempt,
+      std::shared_ptr<bool> is_wanted) {
     AttemptStep step = AttemptStep::kInterrupted;
-    while (step == AttemptStep::kInterrupted ||
+    while ((step == AttemptStep::kInterrupted && !*is_wanted) ||
            step == AttemptStep::kStreamBegun) {
       step = co_await attempt->Next();
     }
