Log shared prompt parts and the progress of lost responses

Endpoints crashed one after the other under requests that had one prompt part in common. The logs could not tell that from endpoints that fail on their own, from broken connections or from overload: `answer_lost` stated neither whether the endpoint had begun to respond nor what the requests have in common, and the header that lists the parts of a prompt was not decoded.

The shared parts of a prompt, all but the last, are decoded now. `answer_lost` states them and how far the response had come, `answered` states them as well, and lost responses are counted by whether they had begun. No decision depends on any of it.

--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -340,7 +340,7 @@
         state_.OnEndpointLost(record.id, "no_connection", now);
         co_return SendOutcome::kNotSent;
       }
-      LogResponseLost(context, record.id, *failure);
+      LogResponseLost(context, record.id, *failure, false);
       co_return SendOutcome::kResponseLost;
     }
     co_return co_await ReadResponse(exchange, context, record.id, call, guard,
@@ -372,7 +372,8 @@
       LogResponseLost(context, endpoint,
                       body.has_value()
                           ? Failure{.code = Errc::kBadEndpointAnswer}
-                          : body.error());
+                          : body.error(),
+                      true);
       co_return SendOutcome::kResponseLost;
     }
     state_.directory().OnSuccess(endpoint);
@@ -544,7 +545,8 @@
         state_.OnEndpointLost(first_endpoint, "no_connection", clock_.Now());
         co_return SendOutcome::kNotSent;
       }
-      LogResponseLost(context, first_endpoint, *failure);
+      LogResponseLost(context, first_endpoint, *failure, false,
+                      progress.splitter.event_count());
       co_return SendOutcome::kResponseLost;
     }
     guard.OnProgress(clock_.Now());
@@ -590,7 +592,8 @@
           body.has_value()
               ? Failure{.code = Errc::kEndpointFailed,
                         .where = "status " + std::to_string(head.status)}
-              : body.error());
+              : body.error(),
+          true, progress.splitter.event_count());
       co_return SendOutcome::kResponseLost;
     }
     HttpResponse response = Codec::EncodeResponse(call.status(), call.fields());
@@ -612,7 +615,8 @@
       if (!bytes) {
         co_await ThrowIfCallerGone();
         if (!guard.is_aborted()) {
-          LogResponseLost(context, first_endpoint, bytes.error());
+          LogResponseLost(context, first_endpoint, bytes.error(), true,
+                          progress.splitter.event_count());
         }
         co_return SendOutcome::kResponseLost;
       }
@@ -636,7 +640,8 @@
     if (!progress.splitter.incomplete_event().empty()) {
       LogResponseLost(context, first_endpoint,
                       Failure{.code = Errc::kBadEndpointAnswer,
-                              .where = "ends within an event"});
+                              .where = "ends within an event"},
+                      true, progress.splitter.event_count());
       co_return SendOutcome::kResponseLost;
     }
     state_.directory().OnSuccess(first_endpoint);
@@ -679,6 +684,7 @@
         .With("request", context.request.id)
         .With("endpoint", endpoint)
         .With("events", progress.splitter.event_count())
+        .With("shared_parts", ToString(context.request.shared_parts))
         .With("sends", context.sends)
         .With("revision", context.manifest->revision())
         .With("first_event_ms", progress.first_event - context.arrived_at)
@@ -686,14 +692,24 @@
         .With("after_ms", Elapsed(context));
   }
 
+  /// Logs and counts a response that was lost after the request was sent.
+  ///
+  /// \param has_begun whether the endpoint had begun to respond.
+  /// \param events number of events of the stream that were received so far.
   void LogResponseLost(const RequestContext& context,
                        const std::string& endpoint,
-                       const Failure& failure) const {
+                       const Failure& failure,
+                       bool has_begun,
+                       std::uint64_t events = 0) {
+    state_.metrics().OnResponseLost(context.service->name, has_begun);
     LogEvent(Severity::kInfo, "answer_lost")
         .With("request", context.request.id)
         .With("endpoint", endpoint)
         .With("reason", ToString(failure.code))
         .With("where", failure.where)
+        .With("begun", has_begun ? "yes" : "no")
+        .With("events", events)
+        .With("shared_parts", ToString(context.request.shared_parts))
         .With("sends", context.sends)
         .With("after_ms", Elapsed(context));
   }
--- a/include/sycamoreford/core/strong_id.h
+++ b/include/sycamoreford/core/strong_id.h
@@ -43,6 +43,8 @@
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
 /// Fencing token of a lease; each new holder gets a higher one.
 using FencingToken = StrongId<struct FencingTokenTag, std::uint64_t>;
+/// Identifier of a part of a prompt that several requests may share.
+using PromptPartId = StrongId<struct PromptPartIdTag, std::uint64_t>;
 /// Index of a token in an answer; the first is 0.
 using TokenPosition = StrongId<struct TokenPositionTag, std::uint32_t>;
 
--- a/include/sycamoreford/relay/relay_metrics.h
+++ b/include/sycamoreford/relay/relay_metrics.h
@@ -36,6 +36,11 @@
   /// Records the longest pause between two events of a stream.
   void OnLongestPause(const std::string& service, Duration time);
 
+  /// Records a response that was lost after the request had been sent.
+  ///
+  /// \param has_begun whether the endpoint had begun to respond.
+  void OnResponseLost(const std::string& service, bool has_begun);
+
   /// All series in the Prometheus text format.
   [[nodiscard]] std::string ToPrometheus() const;
 
@@ -43,6 +48,9 @@
   struct ServiceSeries {
     std::map<std::string, std::uint64_t, std::less<>> outcomes;
     std::uint64_t sends = 0;
+    /// Responses lost before and after the endpoint had begun to respond.
+    std::uint64_t lost_before_begin = 0;
+    std::uint64_t lost_after_begin = 0;
     TimeHistogram duration;
     TimeHistogram first_event;
     TimeHistogram longest_pause;
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "sycamoreford/core/strong_id.h"
 #include "sycamoreford/relay/reported_load.h"
 #include "sycamoreford/route/chain.h"
 
@@ -12,6 +14,9 @@
 
 /// The parts of a caller's request that the router uses.
 struct RelayRequest {
+  /// Bounds the memory and log space that one request can use.
+  static constexpr std::size_t kMaxSharedParts = 8;
+
   /// Id of the request; unique over all callers.
   std::string id;
   std::string host;
@@ -22,6 +27,9 @@
   /// How long the caller will wait, if the request states it.
   std::optional<std::chrono::milliseconds> caller_timeout;
   std::uint32_t prompt_tokens = 0;
+  /// The first parts of the prompt that other requests may share, at most
+  /// `kMaxSharedParts`.
+  std::vector<PromptPartId> shared_parts;
   /// Id of the last event that the caller received; empty for a new stream.
   std::string last_event_id;
 };
@@ -84,6 +92,9 @@
   kTimedOut,
 };
 
+/// Formats the ids of prompt parts for logs: hexadecimal, separated by commas.
+[[nodiscard]] std::string ToString(const std::vector<PromptPartId>& parts);
+
 /// Name of a refusal in logs and metrics, for example `no_endpoint`.
 [[nodiscard]] std::string_view ToString(Refusal refusal) noexcept;
 
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -27,6 +27,11 @@
   services_[service].longest_pause.Record(time);
 }
 
+void RelayMetrics::OnResponseLost(const std::string& service, bool has_begun) {
+  ServiceSeries& series = services_[service];
+  ++(has_begun ? series.lost_after_begin : series.lost_before_begin);
+}
+
 std::string RelayMetrics::ToPrometheus() const {
   std::string text;
   const auto label = [](std::string_view name, std::string_view value) {
@@ -45,6 +50,15 @@
     AppendSample(text, "sycamoreford_relay_sends_total",
                  label("service", service), std::to_string(series.sends));
   }
+  AppendType(text, "sycamoreford_relay_responses_lost_total", "counter");
+  for (const auto& [service, series] : services_) {
+    AppendSample(text, "sycamoreford_relay_responses_lost_total",
+                 label("service", service) + "," + label("begun", "no"),
+                 std::to_string(series.lost_before_begin));
+    AppendSample(text, "sycamoreford_relay_responses_lost_total",
+                 label("service", service) + "," + label("begun", "yes"),
+                 std::to_string(series.lost_after_begin));
+  }
   const auto times = [&](const std::string& name,
                          TimeHistogram ServiceSeries::*member) {
     AppendType(text, name, "histogram");
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -1,5 +1,7 @@
 #include "sycamoreford/relay/relay_request.h"
 
+#include <sstream>
+
 namespace sycamoreford {
 
 std::string_view ToString(Refusal refusal) noexcept {
@@ -26,4 +28,13 @@
   return "unknown";
 }
 
+std::string ToString(const std::vector<PromptPartId>& parts) {
+  std::ostringstream text;
+  text << std::hex;
+  for (const PromptPartId part : parts) {
+    text << (text.tellp() == 0 ? "" : ",") << part.value();
+  }
+  return text.str();
+}
+
 }  // namespace sycamoreford
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -10,6 +10,7 @@
 #include "sycamoreford/metrics/prometheus_text.h"
 #include "sycamoreford/metrics/request_metrics.h"
 #include "sycamoreford/metrics/request_timer.h"
+#include "sycamoreford/relay/relay_metrics.h"
 
 namespace sycamoreford {
 namespace {
@@ -200,5 +201,22 @@
   }
 }
 
+TEST_CASE("a relay counts lost responses by whether they had begun") {
+  RelayMetrics metrics;
+  metrics.OnResponseLost("model", true);
+  metrics.OnResponseLost("model", true);
+  metrics.OnResponseLost("model", false);
+  const std::string text = metrics.ToPrometheus();
+  const auto has_sample = [&](const std::string& begun, int count) {
+    return text.find(
+               "sycamoreford_relay_responses_lost_total{service=\"model\","
+               "begun=\"" +
+               begun + "\"} " + std::to_string(count) + "\n") !=
+           std::string::npos;
+  };
+  REQUIRE(has_sample("yes", 2));
+  REQUIRE(has_sample("no", 1));
+}
+
 }  // namespace
 }  // namespace sycamoreford
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -175,6 +175,38 @@
       other.fields.Add("X-Token-Counts", "many");
       REQUIRE(HttpRelayCodec::Decode(other)->prompt_tokens == 0);
     }
+    SECTION("shared parts of the prompt are decoded without the last part") {
+      const auto shared_parts = [](const std::string& header) {
+        HttpRequest other;
+        other.fields.Add("X-Attempt-Id", "r1");
+        other.fields.Add("X-Prompt-Prefix", header);
+        return ToString(HttpRelayCodec::Decode(other)->shared_parts);
+      };
+      REQUIRE(decoded->shared_parts.empty());
+      REQUIRE(shared_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+              "5c1e07a2,91bd3f06");
+      REQUIRE(shared_parts("5c1e07a2:800, 91bd3f06:410, e4402b7d:250") ==
+              "5c1e07a2,91bd3f06");
+      REQUIRE(shared_parts("e4402b7d:250").empty());
+      REQUIRE(shared_parts("").empty());
+      REQUIRE(shared_parts(",:7,e4402b7d:250").empty());
+      REQUIRE(shared_parts("a,b,c") == "a,b");
+
+      SECTION("up to a limit") {
+        std::string header;
+        for (int i = 0; i < 1'000; ++i) {
+          header += "a:1,";
+        }
+        REQUIRE(shared_parts(header) == "a,a,a,a,a,a,a,a");
+      }
+      SECTION("with ids that are not 64-bit hexadecimal numbers") {
+        const std::string long_id(17, 'f');
+        REQUIRE(shared_parts(long_id + ":1,b:2") ==
+                shared_parts(long_id + ",b"));
+        REQUIRE(shared_parts(long_id + ",b") != shared_parts(long_id + "f,b"));
+        REQUIRE(shared_parts("manual,b") != shared_parts("other,b"));
+      }
+    }
     SECTION("a deadline that is not a number is rejected") {
       HttpRequest wrong;
       wrong.fields.Add("X-Attempt-Id", "r1");
