Quarantine prompt parts under which endpoints crash

Callers of all customers saw streams break and requests refused, because requests with one part in their prompts crashed endpoint after endpoint: each endpoint that began to respond to one was gone for seconds with everything on it.

Cause: a lost response counted against the endpoint only. No daemon knew what the lost requests had in common, and the other daemons learned of the endpoint alone, so the request itself was tried on the next one.

Each daemon now reports which endpoint run crashed within the first 0.3 s of a response, and which suspected parts got past that. The daemons exchange this in datagrams that merge in any order and are repeated; one that has just started gets it in reply to its first status message. `PromptQuarantine` decides; requests with a quarantined part are refused with 503 before their first send and are not sent again. Parts that merely ran on the same endpoints are spared, because the crashes are explained by the part that occurs in all of them, and because of those that occur equally often the ones that were sound before are presumed harmless. Trials, a minute without such requests, or a sound response end it.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,8 @@
   bool streams = false;
   /// Position in the stream after which this attempt goes on.
   EventSplitter position;
+  /// Parts of the prompt that other requests may share.
+  std::vector<PromptPartId> shared_parts;
 };
 
 /// One send of a request to a chain and what arrives of its response. Counts as
@@ -55,6 +58,10 @@
         clock_(clock),
         selector_(state.ChainSelectorFor(service, clock.Now())),
         options_(std::move(options)),
+        prompt_watch_(state.prompt_guard(),
+                      std::move(options_.shared_parts),
+                      first_endpoint(),
+                      PromptGuard::RunOf(state.directory(), first_endpoint())),
         call_(executor) {
     registration_ = state_.AddAttempt({.request_id = options_.request_id,
                                        .stages = options_.stages,
@@ -98,6 +105,7 @@
       }
       events_ = options_.position.Feed(**bytes);
       if (!events_.empty()) {
+        prompt_watch_.OnEvents(clock_.Now());
         co_return AttemptStep::kEvents;
       }
     }
@@ -164,6 +172,9 @@
   /// The reason of the last step `kNotSent` or `kLost`.
   [[nodiscard]] const Failure& failure() const noexcept { return failure_; }
   [[nodiscard]] HttpCall& call() noexcept { return call_; }
+  [[nodiscard]] const PromptWatch& prompt_watch() const noexcept {
+    return prompt_watch_;
+  }
 
  private:
   [[nodiscard]] std::chrono::milliseconds TimeLeft() const {
@@ -200,12 +211,20 @@
   }
 
   AttemptStep OnStreamEnd() {
+    const bool is_framed = !call_.fields().Get("Content-Length").empty() ||
+                           !call_.fields().Get("Transfer-Encoding").empty();
     if (options_.position.incomplete_event().empty()) {
+      // Without framing, the end of a crashed endpoint's response looks the
+      // same.
+      if (is_framed) {
+        prompt_watch_.OnComplete(clock_.Now());
+      }
       return AttemptStep::kStreamEnded;
     }
-    failure_ = {.code = Errc::kBadEndpointAnswer,
-                .outcome = Outcome::kUnknown,
-                .where = "ends within an event"};
+    failure_ = {
+        .code = is_framed ? Errc::kBadEndpointAnswer : Errc::kConnectionLost,
+        .outcome = Outcome::kUnknown,
+        .where = "ends within an event"};
     return AttemptStep::kLost;
   }
 
@@ -231,6 +250,7 @@
   const TheClock& clock_;
   ChainSelector& selector_;
   ChainAttemptOptions options_;
+  PromptWatch prompt_watch_;
   HttpCall call_;
   /// Empty when the attempt no longer counts as in flight.
   std::optional<std::list<ActiveAttempt>::iterator> registration_;
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -12,17 +12,20 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include "sycamoreford/relay/fleet_retry_budget.h"
+#include "sycamoreford/relay/prompt_quarantine.h"
 
 namespace sycamoreford {
 
-/// A message from one daemon to the others: either a report about an endpoint,
-/// or the sender's retry usage and configuration revision.
+/// A message from one daemon to the others: a report about an endpoint, a
+/// report about a suspected prompt part, or the sender's retry usage and
+/// configuration revision.
 struct PeerMessage {
   /// Id of the endpoint; empty if the message carries retry usage.
   std::string endpoint;
   /// Slowness that the endpoint reported; empty if the endpoint is suspected of
   /// another fault.
   std::optional<double> slowness;
+  std::optional<PromptPartReport> prompt_part;
   /// Service that `usage` belongs to.
   std::string service;
   RetryUsage usage;
@@ -45,7 +48,7 @@
 /// Thread safety: none; runs on the thread of the `io_context`.
 class PeerDatagrams {
  public:
-  /// Called with each message and the IP address of the sender.
+  /// Called with each message and the IP address and port of the sender.
   using Receiver =
       std::function<void(const PeerMessage&, const std::string& from)>;
 
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -65,6 +66,9 @@
           message.slowness = slowness;
           datagrams_.Send(roster_.roster().Addresses(clock_.Now()), message);
         });
+    state_.prompt_guard().SetPeerNotifier([this](const PromptPartReport& it) {
+      SendReport(roster_.roster().Addresses(clock_.Now()), it);
+    });
   }
 
   /// Receives messages of other daemons; does not return.
@@ -85,6 +89,9 @@
             state_.manifest() ? state_.manifest()->revision() : 0;
         datagrams_.Send(addresses, message);
       }
+      for (const auto& report : state_.prompt_guard().DueReports(now)) {
+        SendReport(addresses, report);
+      }
     }
   }
 
@@ -134,7 +141,31 @@
   static constexpr std::size_t kMaxStateBytes = 8UL * 1024 * 1024;
   static constexpr const char* kStatePath = "/state";
 
+  void SendReport(const std::vector<std::string>& addresses,
+                  const PromptPartReport& report) {
+    PeerMessage message;
+    message.prompt_part = report;
+    datagrams_.Send(addresses, message);
+  }
+
+  /// A daemon that has just started is not listed yet, so that it gets no
+  /// messages but replies to its own.
+  void ReplyToUnlisted(const std::string& from) {
+    const TimePoint now = clock_.Now();
+    const auto listed = roster_.roster().Addresses(now);
+    if (std::find(listed.begin(), listed.end(), from) != listed.end()) {
+      return;
+    }
+    for (const auto& report : state_.prompt_guard().QuarantineReports(now)) {
+      SendReport({from}, report);
+    }
+  }
+
   void OnMessage(const PeerMessage& message, const std::string& from) {
+    if (message.prompt_part) {
+      state_.prompt_guard().OnReport(*message.prompt_part, clock_.Now());
+      return;
+    }
     if (message.slowness) {
       // Not forwarded: the daemon that received the endpoint's report has
       // already sent it to all others.
@@ -145,6 +176,7 @@
       state_.Inspect(message.endpoint);
       return;
     }
+    ReplyToUnlisted(from);
     state_.RetryBudgetFor(message.service)
         .OnUsageReport(from, message.usage, clock_.Now());
     if (!follower_.HasRevision(message.revision)) {
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -62,6 +62,8 @@
   int connect_failures = 0;
   /// Whether an endpoint may have run the request.
   bool may_have_run = false;
+  /// Whether the request is sent once although its prompt is quarantined.
+  bool is_trial = false;
   /// Why the request was not sent again, for the log.
   std::string_view last_denial;
   /// What was last logged of an attempt that was silent.
@@ -88,6 +90,8 @@
 /// reported that it did not run it, or if nothing was sent. A resumable stream
 /// that breaks is resumed at another chain after its last complete event.
 ///
+/// A request whose prompt crashes endpoints is refused, and not sent again.
+///
 /// Silence alone ends no attempt: a request that may run again is sent
 /// elsewhere as well, and the attempt that goes on first is kept.
 ///
@@ -156,8 +160,23 @@
     context.deadline = context.arrived_at +
                        std::min(caller_timeout, context.route->time_limit);
     context.service = ChooseService(context);
-    return context.service == nullptr ? std::optional(Refusal::kNoEndpoint)
-                                      : std::nullopt;
+    if (context.service == nullptr) {
+      return Refusal::kNoEndpoint;
+    }
+    const PromptVerdict verdict = state_.prompt_guard().OnRequest(
+        context.request.shared_parts, context.arrived_at, state_.rank());
+    context.is_trial = verdict == PromptVerdict::kTrial;
+    return verdict == PromptVerdict::kRefuse
+               ? std::optional(Refusal::kPromptQuarantined)
+               : std::nullopt;
+  }
+
+  /// Whether the request must not be sent, or not again, because endpoints
+  /// crash under its prompt.
+  [[nodiscard]] bool IsQuarantined(const RequestContext& context) const {
+    const bool is_allowed_trial = context.is_trial && context.sends == 0;
+    return !is_allowed_trial &&
+           state_.prompt_guard().IsQuarantined(context.request.shared_parts);
   }
 
   /// Selects a service of the route by weight. Depends only on the request id,
@@ -212,7 +231,11 @@
     if (context.may_have_run) {
       return is_late ? Refusal::kTimedOut : Refusal::kAnswerLost;
     }
-    return is_late ? Refusal::kTooLate : Refusal::kNoEndpoint;
+    if (is_late) {
+      return Refusal::kTooLate;
+    }
+    return IsQuarantined(context) ? Refusal::kPromptQuarantined
+                                  : Refusal::kNoEndpoint;
   }
 
   /// Whether the request may be sent once more, apart from the retry budget.
@@ -226,6 +249,8 @@
       context.last_denial = "no_time_left";
     } else if (context.may_have_run && !context.MayRunAgain()) {
       context.last_denial = "runs_at_most_once";
+    } else if (IsQuarantined(context)) {
+      context.last_denial = "prompt_quarantined";
     }
     return context.last_denial.empty();
   }
@@ -422,6 +447,9 @@
         continue;
       }
       state_.directory().OnSuccess(attempt->endpoint());
+      if (!attempt->head().IsServerError()) {
+        PromptWatchFor(context, *attempt).OnComplete(clock_.Now());
+      }
       if (!attempt->head().IsServerError() || !context.MayRunAgain()) {
         RecordOutcome(context, attempt->head().IsServerError()
                                    ? "endpoint_failed"
@@ -434,6 +462,13 @@
     return std::nullopt;
   }
 
+  [[nodiscard]] PromptWatch PromptWatchFor(const RequestContext& context,
+                                           const ToEndpoint& attempt) {
+    return {state_.prompt_guard(), context.request.shared_parts,
+            attempt.endpoint(),
+            PromptGuard::RunOf(state_.directory(), attempt.endpoint())};
+  }
+
   void OnAttemptFailed(RequestContext& context,
                        const ToEndpoint& attempt,
                        AttemptStep step) {
@@ -447,6 +482,9 @@
     } else {
       LogResponseLost(context, attempt.endpoint(), attempt.failure(),
                       attempt.has_begun());
+      if (attempt.failure().code == Errc::kConnectionLost) {
+        PromptWatchFor(context, attempt).OnConnectionLost(clock_.Now());
+      }
     }
   }
 
@@ -598,7 +636,8 @@
                             .deadline = context.deadline,
                             .connect_timeout = relay::kConnectTimeout,
                             .streams = context.route->streams,
-                            .position = std::move(position)});
+                            .position = std::move(position),
+                            .shared_parts = context.request.shared_parts});
   }
 
   /// Tries other attempts for a request whose attempt is suspected to be
@@ -845,6 +884,9 @@
     } else {
       LogResponseLost(context, attempt.first_endpoint(), attempt.failure(),
                       attempt.has_begun(), attempt.position().event_count());
+      if (attempt.failure().code == Errc::kConnectionLost) {
+        attempt.prompt_watch().OnConnectionLost(clock_.Now());
+      }
     }
   }
 
--- a/include/sycamoreford/relay/prompt_quarantine.h
+++ b/include/sycamoreford/relay/prompt_quarantine.h
@@ -50,13 +50,15 @@
 /// since. Requests that happen to run on a crashing endpoint suspect their
 /// parts as well. Therefore the part that explains most crashes is quarantined
 /// first, and the crashes that it explains do not count against other parts. If
-/// several parts explain the same crashes, only requests that contain all of
+/// several parts explain the same crashes, those that were sound earlier are
+/// presumed harmless. Of the remaining ones, only requests that contain all of
 /// them are refused; others show which of the parts is harmless.
 ///
 /// Daemons exchange reports. Merging them is commutative and idempotent, so
 /// that reports may be lost, reordered or repeated.
 ///
-/// Memory is bounded: only crashes add parts, up to a limit.
+/// Memory is bounded: only crashes add suspected parts, up to a limit, and only
+/// the parts that were sound most recently are remembered.
 ///
 /// Thread safety: none.
 class PromptQuarantine {
@@ -84,9 +86,14 @@
   static constexpr std::chrono::milliseconds kTrialStagger{500};
   /// Maximum number of suspected parts; the least suspicious one is dropped.
   static constexpr std::size_t kMaxParts = 256;
+  /// Maximum number of sound parts that are remembered.
+  static constexpr std::size_t kMaxSoundParts = 1'024;
   /// Maximum number of crashes that are remembered for a part; the oldest is
   /// dropped.
   static constexpr std::size_t kMaxCrashes = 64;
+  /// Maximum number of crashes in a report, the latest ones; it has to fit into
+  /// a datagram of 512 bytes.
+  static constexpr std::size_t kMaxReportedCrashes = 16;
 
   /// Called for each request of a caller before it is sent.
   ///
@@ -101,9 +108,11 @@
 
   /// Called when an endpoint run crashed while it began to respond to a request
   /// with these parts.
-  void OnCrash(const std::vector<PromptPartId>& parts,
-               EndpointRun run,
-               TimePoint now);
+  ///
+  /// \returns the parts for which this is news.
+  std::vector<PromptPartId> OnCrash(const std::vector<PromptPartId>& parts,
+                                    EndpointRun run,
+                                    TimePoint now);
 
   /// Called when a request with these parts got past its beginning.
   ///
@@ -136,6 +145,7 @@
   struct Suspect {
     /// Crashes after the latest sound request.
     Crashes crashes;
+    /// Also set if the latest sound request was before all known crashes.
     std::optional<TimePoint> last_sound;
     TimePoint last_request{};
     std::optional<TimePoint> last_trial;
@@ -145,7 +155,9 @@
   };
 
   Suspect& SuspectFor(PromptPartId part, TimePoint now);
-  static void AddCrash(Suspect& suspect, EndpointRun run, TimePoint at);
+  /// \returns whether the crash was not known.
+  static bool AddCrash(Suspect& suspect, EndpointRun run, TimePoint at);
+  void RememberSound(PromptPartId part, TimePoint at);
   static void ApplySound(Suspect& suspect, TimePoint at);
   /// Makes room for a further part.
   void DropLeastSuspicious();
@@ -160,6 +172,8 @@
 
   std::map<PromptPartId, Suspect> suspects_;
   std::vector<std::vector<PromptPartId>> groups_;
+  /// When parts were sound, as far as this daemon has seen.
+  std::map<PromptPartId, TimePoint> last_sound_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -87,6 +87,8 @@
   kNoConfiguration,
   /// No endpoint can accept it at present; the request has not run.
   kNoEndpoint,
+  /// Endpoints crash under a part of the prompt; the request has not run.
+  kPromptQuarantined,
   /// The daemon is stopping; the request has not run.
   kStopping,
   /// The time limit has passed; the request has not run.
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -1,5 +1,8 @@
 #include "sycamoreford/adapters/peer_datagrams.h"
 
+#include <charconv>
+#include <stdexcept>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,11 +28,86 @@
   return {endpoint.address(), endpoint.port()};
 }
 
+constexpr int kHexadecimal = 16;
+
+std::string ToHex(std::uint64_t value) {
+  std::array<char, 16> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                 value, kHexadecimal);
+  return {digits.data(), end.ptr};
+}
+
+/// \throws std::invalid_argument if the text is not such a number.
+template <class T>
+T FromHex(const std::string& text) {
+  T value{};
+  const char* end = text.data() + text.size();
+  const auto [rest, error] =
+      std::from_chars(text.data(), end, value, kHexadecimal);
+  if (error != std::errc() || rest != end) {
+    throw std::invalid_argument("not a hexadecimal number");
+  }
+  return value;
+}
+
+std::int64_t ToMs(Duration age) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+}
+
+/// \throws std::invalid_argument if it is not an age in milliseconds.
+Duration ToAge(const json::value& value) {
+  constexpr std::int64_t kMaxAgeMs = 86'400'000;
+  const auto age = value.to_number<std::int64_t>();
+  if (age < 0 || age > kMaxAgeMs) {
+    throw std::invalid_argument("not an age");
+  }
+  return std::chrono::milliseconds(age);
+}
+
+json::object ToJson(const PromptPartReport& report) {
+  json::object crashes;
+  for (const PromptPartReport::Crash& crash : report.crashes) {
+    crashes[ToHex(crash.run.value())] = ToMs(crash.age);
+  }
+  json::object object = {{"part", ToHex(report.part.value())},
+                         {"crashes", crashes},
+                         {"seen", ToMs(report.request_age)},
+                         {"trials", report.trials}};
+  if (report.sound_age) {
+    object["sound"] = ToMs(*report.sound_age);
+  }
+  if (report.trial_age) {
+    object["trial"] = ToMs(*report.trial_age);
+  }
+  return object;
+}
+
+PromptPartReport ToPromptPartReport(const json::object& object) {
+  PromptPartReport report;
+  report.part = PromptPartId(
+      FromHex<std::uint64_t>(json::value_to<std::string>(object.at("part"))));
+  for (const auto& [run, age] : object.at("crashes").as_object()) {
+    report.crashes.push_back(
+        {EndpointRun(FromHex<std::uint32_t>(std::string(run))), ToAge(age)});
+  }
+  report.request_age = ToAge(object.at("seen"));
+  report.trials = object.at("trials").to_number<std::uint32_t>();
+  if (const json::value* sound = object.if_contains("sound")) {
+    report.sound_age = ToAge(*sound);
+  }
+  if (const json::value* trial = object.if_contains("trial")) {
+    report.trial_age = ToAge(*trial);
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string PeerMessage::ToText() const {
   json::object object;
-  if (!endpoint.empty()) {
+  if (prompt_part) {
+    object = ToJson(*prompt_part);
+  } else if (!endpoint.empty()) {
     object["trouble"] = endpoint;
     if (slowness) {
       object["slowness"] = *slowness;
@@ -48,6 +126,10 @@
     const json::value value = json::parse(text);
     const json::object& object = value.as_object();
     PeerMessage message;
+    if (object.contains("part")) {
+      message.prompt_part = ToPromptPartReport(object);
+      return message;
+    }
     if (const json::value* trouble = object.if_contains("trouble")) {
       message.endpoint = json::value_to<std::string>(*trouble);
       if (const json::value* slowness = object.if_contains("slowness")) {
@@ -118,7 +200,7 @@
           .With("from", from.address().to_string());
       continue;
     }
-    receiver_(*message, from.address().to_string());
+    receiver_(*message, impl::ToAddress({from.address(), from.port()}));
   }
 }
 
--- a/src/relay/prompt_quarantine.cc
+++ b/src/relay/prompt_quarantine.cc
@@ -104,15 +104,20 @@
   });
 }
 
-void PromptQuarantine::OnCrash(const std::vector<PromptPartId>& parts,
-                               EndpointRun run,
-                               TimePoint now) {
+std::vector<PromptPartId> PromptQuarantine::OnCrash(
+    const std::vector<PromptPartId>& parts,
+    EndpointRun run,
+    TimePoint now) {
+  std::vector<PromptPartId> news;
   for (const PromptPartId part : parts) {
     Suspect& suspect = SuspectFor(part, now);
     suspect.last_request = std::max(suspect.last_request, now);
-    AddCrash(suspect, run, now);
+    if (AddCrash(suspect, run, now)) {
+      news.push_back(part);
+    }
   }
   Evaluate();
+  return news;
 }
 
 std::vector<PromptPartId> PromptQuarantine::OnSound(
@@ -121,6 +126,7 @@
     TimePoint now) {
   std::vector<PromptPartId> news;
   for (const PromptPartId part : parts) {
+    RememberSound(part, first_event_at);
     const auto found = suspects_.find(part);
     if (found == suspects_.end() || Contains(news, part)) {
       continue;
@@ -166,14 +172,29 @@
     Expire(now);
     DropLeastSuspicious();
   }
-  return suspects_[part];
+  const auto [entry, is_new] = suspects_.try_emplace(part);
+  const auto sound = last_sound_.find(part);
+  if (is_new && sound != last_sound_.end()) {
+    entry->second.last_sound = sound->second;
+  }
+  return entry->second;
+}
+
+void PromptQuarantine::RememberSound(PromptPartId part, TimePoint at) {
+  TimePoint& last = last_sound_[part];
+  last = std::max(last, at);
+  if (last_sound_.size() > kMaxSoundParts) {
+    last_sound_.erase(std::min_element(
+        last_sound_.begin(), last_sound_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
 }
 
-void PromptQuarantine::AddCrash(Suspect& suspect,
+bool PromptQuarantine::AddCrash(Suspect& suspect,
                                 EndpointRun run,
                                 TimePoint at) {
   if (suspect.last_sound && at <= *suspect.last_sound) {
-    return;
+    return false;
   }
   const auto [entry, is_new] = suspect.crashes.try_emplace(run, at);
   entry->second = std::min(entry->second, at);
@@ -182,6 +203,7 @@
         suspect.crashes.begin(), suspect.crashes.end(),
         [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
+  return is_new;
 }
 
 void PromptQuarantine::ApplySound(Suspect& suspect, TimePoint at) {
@@ -243,6 +265,12 @@
         group.push_back(part);
       }
     }
+    const auto was_sound = [&](PromptPartId part) {
+      return suspects_.at(part).last_sound.has_value();
+    };
+    if (!std::all_of(group.begin(), group.end(), was_sound)) {
+      std::erase_if(group, was_sound);
+    }
     groups_.push_back(std::move(group));
     for (auto& [part, crashes] : unexplained) {
       std::erase_if(crashes, [&](const auto& crash) {
@@ -283,6 +311,11 @@
   for (const auto& [run, at] : suspect.crashes) {
     report.crashes.push_back({run, now - at});
   }
+  if (report.crashes.size() > kMaxReportedCrashes) {
+    std::sort(report.crashes.begin(), report.crashes.end(),
+              [](const auto& a, const auto& b) { return a.age < b.age; });
+    report.crashes.resize(kMaxReportedCrashes);
+  }
   if (suspect.last_sound) {
     report.sound_age = now - *suspect.last_sound;
   }
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -389,6 +389,46 @@
     REQUIRE(read->usage.retries == 2);
     REQUIRE(read->revision == 12);
   }
+  SECTION("about prompt parts are restored from their text") {
+    PeerMessage message;
+    message.prompt_part.emplace();
+    message.prompt_part->part = PromptPartId(0x5c1e07a2);
+    message.prompt_part->request_age = milliseconds(20);
+    message.prompt_part->trials = 2;
+    const std::uint32_t crashes =
+        GENERATE(0U, 2U, std::uint32_t{PromptQuarantine::kMaxReportedCrashes});
+    for (std::uint32_t i = 0; i < crashes; ++i) {
+      message.prompt_part->crashes.push_back(
+          {EndpointRun(~i), std::chrono::hours(23)});
+    }
+    if (crashes > 0) {
+      message.prompt_part->sound_age = std::chrono::hours(22);
+      message.prompt_part->trial_age = std::chrono::hours(21);
+    }
+    REQUIRE(message.ToText().size() <= 512);
+    const auto read = PeerMessage::Parse(message.ToText())->prompt_part;
+    REQUIRE(read->part == message.prompt_part->part);
+    REQUIRE(read->request_age == milliseconds(20));
+    REQUIRE(read->trials == 2);
+    REQUIRE(read->sound_age == message.prompt_part->sound_age);
+    REQUIRE(read->trial_age == message.prompt_part->trial_age);
+    REQUIRE(read->crashes.size() == crashes);
+    for (std::uint32_t i = 0; i < crashes; ++i) {
+      REQUIRE(read->crashes[i].run == EndpointRun(~i));
+      REQUIRE(read->crashes[i].age == std::chrono::hours(23));
+    }
+  }
+  SECTION("about prompt parts are not parsed if they are malformed") {
+    const std::string text = GENERATE(
+        R"({"part":1,"crashes":{},"seen":1,"trials":0})",
+        R"({"part":"x","crashes":{},"seen":1,"trials":0})",
+        R"({"part":"a","seen":1,"trials":0})",
+        R"({"part":"a","crashes":{"z":1},"seen":1,"trials":0})",
+        R"({"part":"a","crashes":{"1":-1},"seen":1,"trials":0})",
+        R"({"part":"a","crashes":{"1":1},"seen":999999999999,"trials":0})",
+        R"({"part":"a","crashes":{"1":1},"seen":1,"trials":-1})");
+    REQUIRE_FALSE(PeerMessage::Parse(text).has_value());
+  }
   SECTION("are not parsed from malformed text") {
     const std::string text = GENERATE("", "x", "[]", "{}", "{\"trouble\":1}",
                                       "{\"service\":\"s\",\"requests\":-1}");
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -259,6 +259,9 @@
     };
     REQUIRE(refuse(Refusal::kNoEndpoint).status == 503);
     REQUIRE(refuse(Refusal::kNoEndpoint).fields.Get("Retry-After") == "1.250");
+    REQUIRE(refuse(Refusal::kPromptQuarantined).status == 503);
+    REQUIRE_FALSE(
+        refuse(Refusal::kPromptQuarantined).fields.Get("Retry-After").empty());
     REQUIRE(refuse(Refusal::kAnswerLost).status == 502);
     REQUIRE(refuse(Refusal::kAnswerLost).fields.Get("Retry-After").empty());
     REQUIRE(refuse(Refusal::kTimedOut).status == 504);
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -18,7 +18,7 @@
 using std::chrono::seconds;
 using Parts = std::vector<PromptPartId>;
 
-const TimePoint kStart{std::chrono::hours(1)};
+constexpr TimePoint kStart{std::chrono::hours(1)};
 const PromptPartId kCulprit{0xdead};
 const PromptPartId kFirst{1};
 const PromptPartId kOther{2};
@@ -155,6 +155,21 @@
     }
   }
 
+  SECTION("that are always there are not quarantined if they were sound") {
+    (void)quarantine.OnSound({kFirst, kOther}, At(-500), At(-100));
+    Crash(quarantine, {kFirst, kCulprit}, 4);
+    REQUIRE(quarantine.IsQuarantined({kCulprit}));
+    REQUIRE_FALSE(quarantine.IsQuarantined({kFirst}));
+  }
+  SECTION("do not hide a cause that was sound earlier") {
+    (void)quarantine.OnSound({kCulprit}, At(-500), At(-100));
+    const int last = Crash(quarantine, {kFirst, kCulprit}, 4);
+    REQUIRE(quarantine.IsQuarantined({kFirst}));
+    crash(9, {{kCulprit, kOther}}, last + 100);
+    REQUIRE(quarantine.IsQuarantined({kCulprit}));
+    REQUIRE_FALSE(quarantine.IsQuarantined({kFirst}));
+  }
+
   SECTION("are cleared by a trial if the cause was not recognized") {
     const int last = Crash(quarantine, {kFirst, kCulprit}, 3);
     crash(9, {{kFirst}}, last + 100);
@@ -185,7 +200,7 @@
   PromptQuarantine quarantine;
   Crash(quarantine, {kCulprit}, 100);
   REQUIRE(quarantine.ReportOn(kCulprit, At(70'000))->crashes.size() ==
-          PromptQuarantine::kMaxCrashes);
+          PromptQuarantine::kMaxReportedCrashes);
   for (std::uint32_t i = 0; i < 10'000; ++i) {
     quarantine.OnCrash({PromptPartId(10 + i)}, Run(i),
                        At(70'000 + static_cast<int>(i)));
@@ -263,6 +278,8 @@
   static constexpr milliseconds kTimeToCrash{70};
   static constexpr milliseconds kRestartTime{1'500};
   static constexpr milliseconds kStatusInterval{400};
+  /// Endpoints crash under the culprit from this time on.
+  static constexpr TimePoint kOnset = kStart + seconds(2);
 
   explicit Simulation(std::uint32_t seed, int loss_percent)
       : random_(seed), loss_percent_(loss_percent), daemons_(kDaemons) {
@@ -336,7 +353,8 @@
     const std::uint32_t run = endpoint.run;
     const TimePoint first_event = now_ + milliseconds(60);
     endpoint.requests.push_back({daemon, parts, first_event});
-    if (std::find(parts.begin(), parts.end(), kCulprit) != parts.end()) {
+    if (now_ >= kOnset &&
+        std::find(parts.begin(), parts.end(), kCulprit) != parts.end()) {
       culprit_sends.push_back(now_);
       Schedule(now_ + kTimeToCrash, [this, id, run] { Crash(id, run); });
       return;
@@ -408,6 +426,7 @@
     const auto bad_interval = milliseconds(*rc::gen::inRange(40, 900));
     // 0 puts the culprit first, 1 in the middle, 2 last, 3 at any place.
     const auto place = *rc::gen::inRange(0, 4);
+    const bool was_sound = *rc::gen::arbitrary<bool>();
     Simulation simulation(seed, loss_percent);
     const auto sound_parts = [&] {
       return Parts{PromptPartId(1 + static_cast<std::uint64_t>(
@@ -434,7 +453,7 @@
       simulation.Schedule(simulation.now() + bad_interval, send_bad);
     };
     send_sound();
-    simulation.Schedule(kStart + seconds(1), send_bad);
+    simulation.Schedule(was_sound ? kStart : Simulation::kOnset, send_bad);
     simulation.RunUntil(kStart + seconds(60));
 
     const auto& crashes = simulation.crashes;
