--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -43,6 +43,9 @@
 /// A chain from which something has arrived within this time is not silent; of
 /// the order of the longest pause between the events of a chain at work.
 inline constexpr std::chrono::milliseconds kMinSilence{100};
+/// A chain that has been silent for longer is not sound if a stage of it is no
+/// longer listed. A sound endpoint is silent for about a second.
+inline constexpr std::chrono::milliseconds kMaxSoundSilence{2'000};
 /// Maximum size of a response that is buffered before it is forwarded.
 inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 
@@ -348,11 +351,18 @@
     co_await Refuse(exchange, context, FinalRefusal(context));
   }
 
+  /// Whether the request may be sent to a further endpoint while others run it.
+  [[nodiscard]] static bool MayTryFurtherEndpoint(
+      const RequestContext& context) {
+    return context.MayRunAgain() &&
+           context.tried_endpoints.size() < context.route->max_attempts;
+  }
+
   /// Whether no attempt is expected to respond in time.
   [[nodiscard]] static bool AreAllOverdue(const PendingAttempts& pending) {
     return std::all_of(
         pending.attempts.begin(), pending.attempts.end(),
-        [](const PendingAttempt& it) { return it.attempt->is_reported(); });
+        [](const PendingAttempt& it) { return it.attempt->is_overdue(); });
   }
 
   /// Time until the newest attempt is overdue; the time left if the request
@@ -362,7 +372,7 @@
       const PendingAttempts& pending) const {
     const TimePoint now = clock_.Now();
     const ToEndpoint& newest = *pending.attempts.back().attempt;
-    if (!context.MayRunAgain() || newest.is_reported()) {
+    if (!MayTryFurtherEndpoint(context) || newest.is_overdue()) {
       return std::max(context.TimeLeft(now), relay::kMinTimeLeft);
     }
     return std::max(
@@ -376,7 +386,7 @@
                      const PendingAttempts& pending) const {
     const TimePoint now = clock_.Now();
     for (const PendingAttempt& it : pending.attempts) {
-      if (context.MayRunAgain() &&
+      if (MayTryFurtherEndpoint(context) &&
           now - it.attempt->started_at() >= context.route->target_latency) {
         it.attempt->OnOverdue();
       }
@@ -656,7 +666,7 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     for (;;) {
       if (!MayTryOthers(context, *attempt)) {
-        co_return AttemptStep::kInterrupted;
+        co_return GiveUpIfLost(context, *attempt);
       }
       auto other =
           OpenSuccessor(executor, exchange.request(), context, *attempt);
@@ -666,7 +676,7 @@
       }
       if (!other) {
         LogSilence(context, *attempt, context.last_denial);
-        co_return AttemptStep::kInterrupted;
+        co_return GiveUpIfLost(context, *attempt);
       }
       AbandonGuard guard(*other);
       WakeSignal ended(executor);
@@ -684,7 +694,11 @@
       attempt->ClearInterrupt();
       if (IsGoingOn(*attempt, step)) {
         attempt->ResumeLoad();
-        context.sends -= other->was_sent() ? 0 : 1;
+        if (other->was_sent()) {
+          context.tried_endpoints.insert(other->first_endpoint());
+        } else {
+          --context.sends;
+        }
         LogSilence(context, *attempt, "went_on");
         co_return step;
       }
@@ -699,6 +713,7 @@
         LogSilence(context, *attempt, "replaced");
         RecordFailedSend(context, AttemptStep::kLost,
                          attempt->first_endpoint());
+        attempt->SuspendLoad();
         reserve.Keep(attempt);
       } else {
         OnAttemptFailed(context, *other, *task.result());
@@ -721,6 +736,20 @@
     return context.MayRunAgain();
   }
 
+  /// Ends an attempt that has been silent for longer than a sound endpoint, if
+  /// the list of endpoints confirms that one of its chain is gone.
+  ///
+  /// \returns `kLost` if it was ended, otherwise `kInterrupted`.
+  AttemptStep GiveUpIfLost(RequestContext& context, ToChain& attempt) const {
+    if (attempt.SilenceAt(clock_.Now()) < relay::kMaxSoundSilence ||
+        !attempt.HasLostStage()) {
+      return AttemptStep::kInterrupted;
+    }
+    LogSilence(context, attempt, "given_up");
+    attempt.GiveUp();
+    return AttemptStep::kLost;
+  }
+
   /// Takes the attempt in reserve, to go on after `position`.
   boost::asio::awaitable<std::shared_ptr<ToChain>> TakeReserve(
       Reserve& reserve,
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -29,6 +29,9 @@
   Chain stages;
   /// The call to the first endpoint. Outlives this object.
   HttpCall* call = nullptr;
+  /// Set while a stage is suspected and nothing has arrived since: when `call`
+  /// is interrupted again.
+  std::optional<TimePoint> next_interrupt_at{};
 };
 
 /// State of a daemon that its requests and background loops share.
@@ -68,8 +71,10 @@
   /// The selector for the current chains of a service. Rebuilds them if the
   /// endpoints or the configuration have changed, or a suspicion has ended.
   ///
+  /// \param requested the service as the request knows it; the configuration in
+  ///     force decides unless it no longer contains the service.
   /// Precondition: the service has an engine, and a configuration is in force.
-  [[nodiscard]] ChainSelector& ChainSelectorFor(const RelayService& service,
+  [[nodiscard]] ChainSelector& ChainSelectorFor(const RelayService& requested,
                                                 TimePoint now);
 
   /// The retry budget of a service.
@@ -142,6 +147,10 @@
                            std::string_view reason,
                            TimePoint now);
 
+  /// Interrupts the calls that are silent since a suspicion from time to time,
+  /// since chains that can take their requests may have become available.
+  void InterruptSilentAttempts(TimePoint now);
+
  private:
   struct ServiceChains {
     ChainSelector selector;
