--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -67,6 +67,7 @@
     if (failure) {
       co_return Fail(std::move(*failure));
     }
+    has_begun_ = true;
     head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
                                       call_.fields());
     auto body = co_await call_.ReadAll(options_.max_response_bytes, TimeLeft());
@@ -116,7 +117,9 @@
   }
   [[nodiscard]] TimePoint started_at() const noexcept { return started_at_; }
   [[nodiscard]] bool is_overdue() const noexcept { return is_overdue_; }
-  /// Precondition: the head of the response has arrived.
+  /// Whether the head of the response has arrived.
+  [[nodiscard]] bool has_begun() const noexcept { return has_begun_; }
+  /// Precondition: `has_begun()`.
   [[nodiscard]] const ResponseHead& head() const noexcept { return head_; }
   /// The reason of `kNotSent` or `kLost`.
   [[nodiscard]] const Failure& failure() const noexcept { return failure_; }
@@ -158,6 +161,7 @@
   HttpCall call_;
   /// Whether the attempt no longer counts as in flight.
   bool is_reported_ = false;
+  bool has_begun_ = false;
   bool is_overdue_ = false;
   ResponseHead head_;
   std::string body_;
