Destroy the io_context of a relay before the state that requests use

At the end of the process, requests that were still in flight were destroyed with the io_context, after the RelayState that they leave.

--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -118,15 +118,16 @@
            std::to_string(body.size()) + "\r\n" + extra_headers + "\r\n" + body;
   }
 
+  SteadyClock clock;
+  RelayState state{"north", RetryLimits{.ratio = 0.2, .extra = 100}};
+  platform::EndpointClient control;
+  // Destroyed before what the requests in flight use.
   boost::asio::io_context context{1};
   fakes::ScriptedEndpoint plain_1{context};
   fakes::ScriptedEndpoint plain_2{context};
   fakes::ScriptedEndpoint model_1{context};
   fakes::ScriptedEndpoint model_2{context};
   fakes::ScriptedEndpoint model_3{context};
-  SteadyClock clock;
-  RelayState state{"north", RetryLimits{.ratio = 0.2, .extra = 100}};
-  platform::EndpointClient control;
   EndpointInspector<platform::EndpointClient, SteadyClock> inspector{
       state, control, clock};
   RelayHandler<platform::HttpRelayCodec, SteadyClock> handler{state, clock};
