Close a silent attempt once its successor has delivered

A silent attempt was held in reserve while its successor went on, and taken back if that one failed. The caller then got events of the first run after events of the second; the contract allows a stream to go on with a new run only. The reserve also kept memory at endpoints. It is gone: when a successor has delivered events, the silent attempt is closed, and a later failure is mended by a new run.

--- a/include/sycamoreford/adapters/background_task.h
+++ b/include/sycamoreford/adapters/background_task.h
@@ -32,7 +32,7 @@
                  Value value_on_exception,
                  std::function<void()> on_done)
       : state_(std::make_shared<State>()) {
-    state_->on_done = std::move(on_done);
+    state_->on_done.swap(on_done);
     boost::asio::co_spawn(executor, std::move(coroutine),
                           [state = state_, value_on_exception](
                               const std::exception_ptr& error, Value value) {
--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -156,11 +156,6 @@
   [[nodiscard]] bool HasReceivedSince(TimePoint time) const noexcept {
     return last_received_at_ && *last_received_at_ >= time;
   }
-  /// Continues after the events that other attempts have delivered meanwhile.
-  void SkipTo(const EventSplitter& delivered) {
-    options_.position.SkipTo(delivered);
-  }
-
   /// The complete events of the last step `kEvents`.
   [[nodiscard]] std::string_view events() const noexcept { return events_; }
   /// Position after the last complete event.
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -16,7 +16,6 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/this_coro.hpp>
 
-#include "sycamoreford/adapters/attempt_reserve.h"
 #include "sycamoreford/adapters/attempt_step.h"
 #include "sycamoreford/adapters/background_task.h"
 #include "sycamoreford/adapters/chain_attempt.h"
@@ -127,7 +126,6 @@
   using RequestContext = relay::RequestContext;
   using ToChain = ChainAttempt<Codec, TheClock>;
   using ToEndpoint = EndpointAttempt<Codec, TheClock>;
-  using Reserve = AttemptReserve<ToChain>;
 
   /// Decodes the request and finds its route, customer and service.
   ///
@@ -523,14 +521,13 @@
                                             RequestContext& context) {
     const auto executor = co_await boost::asio::this_coro::executor;
     StreamProgress progress;
-    Reserve reserve(executor);
     auto attempt = OpenChainAttempt(executor, exchange.request(), context,
                                     progress.position);
     while (attempt) {
       AttemptStep step = co_await attempt->Next();
       co_await ThrowIfCallerGone();
       if (step == AttemptStep::kInterrupted) {
-        step = co_await TryOthers(exchange, context, attempt, reserve);
+        step = co_await TryOthers(exchange, context, attempt);
       }
       switch (step) {
         case AttemptStep::kInterrupted:
@@ -564,9 +561,6 @@
       attempt.reset();
       attempt = OpenChainAttempt(executor, exchange.request(), context,
                                  progress.position);
-      if (!attempt) {
-        attempt = co_await TakeReserve(reserve, progress.position);
-      }
     }
     if (!progress.has_begun) {
       co_await Refuse(exchange, context, FinalRefusal(context));
@@ -636,11 +630,12 @@
     }
     position.Restart();
     const Chain stages = chain->stages;
+    HttpRequest encoded =
+        Codec::Encode(request, OptionsFor(context, stages, position));
     return std::make_shared<ToChain>(
         state_, clock_, executor, *context.service,
         ChainAttemptOptions{.request_id = context.request.id,
-                            .request = Codec::Encode(
-                                request, OptionsFor(context, stages, position)),
+                            .request = std::move(encoded),
                             .stages = stages,
                             .tokens = tokens,
                             .deadline = context.deadline,
@@ -651,30 +646,24 @@
                             .shared_parts = context.request.shared_parts});
   }
 
-  /// Tries other attempts for a request whose attempt is suspected to be
-  /// silent: other chains, and else the attempt in reserve. A silent endpoint
-  /// may go on, so the attempt stays open; whichever goes on first is kept, and
-  /// a silent one that was replaced is held in reserve.
+  /// Tries other chains for a request whose attempt is suspected to be silent.
+  /// A silent endpoint may go on, so the attempt stays open until a successor
+  /// goes on in its place; whichever goes on first is kept.
   ///
   /// \param attempt replaced by the attempt to go on with.
   /// \returns the next step of `attempt`; `kInterrupted` if it is not silent or
-  ///     if nothing else can be tried at present.
+  ///     if no other chain can be tried at present.
   boost::asio::awaitable<AttemptStep> TryOthers(
       HttpExchange& exchange,
       RequestContext& context,
-      std::shared_ptr<ToChain>& attempt,
-      Reserve& reserve) {
+      std::shared_ptr<ToChain>& attempt) {
     const auto executor = co_await boost::asio::this_coro::executor;
     for (;;) {
       if (!MayTryOthers(context, *attempt)) {
         co_return AttemptStep::kInterrupted;
       }
-      auto other =
+      const auto other =
           OpenSuccessor(executor, exchange.request(), context, *attempt);
-      if (!other) {
-        other = co_await TakeReserve(reserve, attempt->position());
-        co_await ThrowIfCallerGone();
-      }
       if (!other) {
         LogSilence(context, *attempt, context.last_denial);
         co_return AttemptStep::kInterrupted;
@@ -719,8 +708,6 @@
         LogSilence(context, *attempt, "replaced");
         RecordFailedSend(context, AttemptStep::kLost,
                          attempt->first_endpoint());
-        attempt->SuspendLoad();
-        reserve.Keep(attempt);
       } else {
         OnAttemptFailed(context, *other, *task.result());
         continue;
@@ -742,18 +729,6 @@
     return context.MayRunAgain();
   }
 
-  /// Takes the attempt in reserve, to go on after `position`.
-  boost::asio::awaitable<std::shared_ptr<ToChain>> TakeReserve(
-      Reserve& reserve,
-      const EventSplitter& position) {
-    auto attempt = co_await reserve.Take();
-    if (attempt) {
-      attempt->ResumeLoad();
-      attempt->SkipTo(position);
-    }
-    co_return attempt;
-  }
-
   /// Abandons an attempt on destruction, unless it is kept.
   class AbandonGuard {
    public:
--- a/include/sycamoreford/relay/event_splitter.h
+++ b/include/sycamoreford/relay/event_splitter.h
@@ -38,10 +38,6 @@
   /// stream. Events with ids up to `last_id` that it sends again are dropped.
   void Restart();
 
-  /// Continues after events that another endpoint sent meanwhile: events with
-  /// ids up to `delivered.last_id()` are dropped.
-  void SkipTo(const EventSplitter& delivered);
-
  private:
   void ProcessEvent(std::string_view event);
 
@@ -50,7 +46,7 @@
   std::string complete_events_;
   std::string last_id_;
   std::uint64_t event_count_ = 0;
-  /// Events up to this id were delivered before the last `Restart` or `SkipTo`.
+  /// Events up to this id were delivered before the last `Restart`.
   std::optional<std::uint64_t> last_delivered_id_;
 };
 
--- a/src/relay/event_splitter.cc
+++ b/src/relay/event_splitter.cc
@@ -76,10 +76,4 @@
   last_delivered_id_ = ParseNumber(last_id_);
 }
 
-void EventSplitter::SkipTo(const EventSplitter& delivered) {
-  last_id_ = delivered.last_id_;
-  event_count_ = delivered.event_count_;
-  last_delivered_id_ = ParseNumber(last_id_);
-}
-
 }  // namespace sycamoreford
