--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -75,6 +75,23 @@
     thread_ = std::thread([this] { context.run(); });
   }
 
+  /// Runs the inspector of stalled chains. Call before `Start`.
+  void WatchChains() {
+    boost::asio::co_spawn(context, inspector.Watch(), boost::asio::detached);
+  }
+
+  /// Removes an endpoint from the directory. Call before `Start`.
+  void Remove(const std::string& id) {
+    state.directory().Remove(id, clock.Now(), Duration::zero());
+  }
+
+  /// Changes the address in the record of an endpoint. Call before `Start`.
+  void SetAddress(const std::string& id, const std::string& address) {
+    EndpointRecord record = state.directory().Find(id)->record;
+    record.address = address;
+    state.directory().Upsert(record);
+  }
+
   /// Sends a request and reads until the connection is closed.
   ///
   /// \returns all bytes received.
