Name the endpoint when a response head is lost

Since a call can be interrupted while it waits for the head, a failure there named "header" instead of the endpoint's address.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -27,6 +27,8 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   HttpFields fields;
+  /// The other end, for failures.
+  std::string address;
   bool was_sent = false;
   bool is_reading = false;
   /// Whether a read is to be ended by `Interrupt`.
@@ -175,6 +177,7 @@
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
   beast::tcp_stream& stream = state_->stream;
+  state_->address = address;
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   asio::ip::tcp::endpoint endpoint;
   try {
@@ -208,7 +211,7 @@
                                    state_->parser, token);
   });
   if (error) {
-    co_return ExchangeFailure(error, "header");
+    co_return ExchangeFailure(error, state_->address);
   }
   for (const auto& field : state_->parser.get()) {
     state_->fields.Add(std::string(field.name_string()),
