--- a/tests/relay_daemon_test.cc
+++ b/tests/relay_daemon_test.cc
@@ -104,13 +104,14 @@
   /// Time that the store takes for a write.
   static constexpr milliseconds kWriteTime{600};
 
-  explicit RunningDaemon(milliseconds answer_time) {
+  explicit RunningDaemon(milliseconds answer_time,
+                         std::vector<std::string> arguments = {}) {
     store_.SetResponder(
         [this](const HttpRequest& request) { return RespondAsStore(request); });
     endpoint.AddScript(Answer("booked", answer_time));
     WriteSettings(store_.address());
-    process.emplace("sycamore-relayd",
-                    std::vector<std::string>{"--settings", path_});
+    arguments.insert(arguments.end(), {"--settings", path_});
+    process.emplace("sycamore-relayd", std::move(arguments));
     thread_ = std::thread([this] { context_.run(); });
   }
   ~RunningDaemon() {
@@ -244,5 +245,28 @@
   CHECK(daemon.process->Output().find("settings_refused") != std::string::npos);
 }
 
+TEST_CASE("metrics are served at a fixed port") {
+  const std::string address = FreeAddress();
+  const std::string port = address.substr(address.rfind(':') + 1);
+  HttpRequest request;
+  request.target = "/metrics";
+  SECTION("if it is free") {
+    const RunningDaemon daemon(milliseconds(0), {"--metrics-port", port});
+    REQUIRE(WaitUntil([&] { return daemon.IsReady(); }));
+    const auto response = support::Fetch(address, request, milliseconds(500));
+    REQUIRE(response.has_value());
+    CHECK(response->body.find("sycamoreford_relay_daemons") !=
+          std::string::npos);
+  }
+  SECTION("and a port in use does not keep the daemon from serving") {
+    asio::io_context context;
+    const asio::ip::tcp::acceptor other(context, impl::ParseAddress(address));
+    const RunningDaemon daemon(milliseconds(0), {"--metrics-port", port});
+    CHECK(WaitUntil([&] { return daemon.IsReady(); }));
+    CHECK(daemon.process->Output().find("metrics_port_unavailable") !=
+          std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace sycamoreford
