--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -243,6 +243,9 @@
     if (head_.load && registration_) {
       selector_.OnReportedLoad(first_endpoint(), *head_.load, clock_.Now());
     }
+    if (registration_ && head_.IsTrusted()) {
+      state_.OnStatedLimit(first_endpoint(), head_.request_limit);
+    }
     if (head_.is_not_run) {
       return AttemptStep::kNotRun;
     }
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -99,6 +99,7 @@
     }
     state_.directory().OnLayers(id, report->layers);
     state_.OnSlowness(id, report->slowness);
+    state_.OnStatedLimit(id, report->request_limit);
     state_.directory().OnAlive(id, clock_.Now());
     std::set<std::string> faulty_stages;
     for (const StalledRequest& stalled : report->stalled) {
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -137,6 +137,14 @@
   /// when chains are built, by this and by the other daemons.
   void OnSlowness(const std::string& id, double slowness);
 
+  /// Called for each response of an endpoint, with the requests per second that
+  /// it accepts from all daemons; empty if it states no limit.
+  void OnStatedLimit(const std::string& id, std::optional<double> limit);
+  /// Number of endpoints that state a limit.
+  [[nodiscard]] std::size_t limited_endpoint_count() const noexcept {
+    return stated_limits_.size();
+  }
+
   /// Called when an endpoint did not respond, or responded as if it had lost
   /// its requests. It is not used for a while. It may be sound nonetheless, so
   /// its requests are not ended: the calls on chains that contain it are
@@ -174,6 +182,7 @@
   std::map<std::string, ServiceChains> chains_;
   std::map<std::string, FleetRetryBudget> retry_budgets_;
   std::list<ActiveAttempt> attempts_;
+  std::map<std::string, double> stated_limits_;
   std::uint32_t daemon_count_;
   std::size_t rank_ = 0;
   std::function<void(std::string)> inspect_;
--- a/include/sycamoreford/fleet/endpoint_report.h
+++ b/include/sycamoreford/fleet/endpoint_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   std::uint32_t in_flight = 0;
   /// As `KnownEndpoint::slowness`.
   double slowness = 1;
+  /// As `ResponseHead::request_limit`.
+  std::optional<double> request_limit;
   std::vector<StalledRequest> stalled;
 };
 
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -63,6 +63,9 @@
   /// Address of the stage that caused a failure; empty when it isn't stated.
   std::string faulty_stage_address;
   std::optional<ReportedLoad> load;
+  /// Requests per second that the endpoint accepts from all daemons together;
+  /// empty if it states no limit.
+  std::optional<double> request_limit;
 
   [[nodiscard]] bool IsServerError() const noexcept {
     constexpr unsigned kFirstServerError = 500;
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -202,6 +202,26 @@
   }
 }
 
+void RelayState::OnStatedLimit(const std::string& id,
+                               std::optional<double> limit) {
+  const auto known = stated_limits_.find(id);
+  const bool was_limited = known != stated_limits_.end();
+  if (limit ? was_limited && known->second == *limit : !was_limited) {
+    return;
+  }
+  if (limit) {
+    constexpr double kSecondsPerMinute = 60;
+    stated_limits_[id] = *limit;
+    LogEvent(Severity::kInfo, "endpoint_limited")
+        .With("endpoint", id)
+        .With("per_minute",
+              static_cast<std::int64_t>(*limit * kSecondsPerMinute));
+  } else {
+    stated_limits_.erase(known);
+    LogEvent(Severity::kInfo, "endpoint_limit_ended").With("endpoint", id);
+  }
+}
+
 void RelayState::Inspect(const std::string& id) {
   if (inspect_) {
     inspect_(id);
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -21,6 +21,22 @@
     "Bounds.GraceS=8\nBounds.RetryBudgetRatio=0.2\n"
     "Bounds.BudgetExtra=202\nBounds.BudgetWindowS=10\nSomething.New=1\n";
 
+TEST_CASE("the request limit that an endpoint states") {
+  const auto decode = [](const std::string& text) {
+    HttpFields fields;
+    fields.Add("server-limit", text);
+    return HttpRelayCodec::DecodeResponseHead("r1", 200, fields).request_limit;
+  };
+  CHECK(decode("8.8") == 8.8);
+  CHECK(decode("0") == 0.0);
+  CHECK(decode("120") == 120.0);
+  for (const std::string text :
+       {"", "many", "-1", "3 a second", "inf", "nan", "1e999"}) {
+    CAPTURE(text);
+    CHECK_FALSE(decode(text).has_value());
+  }
+}
+
 TEST_CASE("parsing the settings file") {
   std::vector<SettingsError> errors;
 
