--- a/tests/prompt_quarantine_path_test.cc
+++ b/tests/prompt_quarantine_path_test.cc
@@ -6,19 +6,13 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
 #include "fakes/crashing_endpoint.h"
 #include "fakes/fake_table.h"
-#include "fakes/faulty_table.h"
-#include "http_relay_codec.h"
+#include "support/peer_relay.h"
 #include "support/sample_engine.h"
-#include "sycamoreford/adapters/fleet_follower.h"
 #include "sycamoreford/adapters/http_client.h"
-#include "sycamoreford/adapters/peer_service.h"
-#include "sycamoreford/adapters/relay_handler.h"
-#include "sycamoreford/adapters/roster_service.h"
 
 namespace sycamoreford {
 namespace {
@@ -27,6 +21,7 @@
 using fakes::CrashingEndpoint;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using support::PeerRelay;
 using Time = CrashingEndpoint::Time;
 
 const std::string kCulprit = "dead0001";
@@ -36,31 +31,6 @@
 /// Time in which requests end whose connections were closed.
 constexpr milliseconds kStopTime{500};
 
-/// A store that never responds; the test sets the state of the daemons.
-struct SilentStore {
-  static asio::awaitable<void> Wait() {
-    for (;;) {
-      co_await Pause(seconds(60));
-    }
-  }
-  static asio::awaitable<Result<ManifestListing>> ReadManifest() {
-    co_await Wait();
-    co_return ManifestListing{};
-  }
-  static asio::awaitable<Result<ManifestListing>> AwaitManifest(std::uint64_t,
-                                                                milliseconds) {
-    return ReadManifest();
-  }
-  static asio::awaitable<Result<EndpointListing>> ReadEndpoints() {
-    co_await Wait();
-    co_return EndpointListing{};
-  }
-  static asio::awaitable<Result<EndpointListing>> AwaitEndpoints(std::uint64_t,
-                                                                 milliseconds) {
-    return ReadEndpoints();
-  }
-};
-
 std::shared_ptr<const Manifest> Configuration() {
   RelayService model;
   model.name = "model";
@@ -84,53 +54,6 @@
       .Build();
 }
 
-/// A free UDP address on the loopback host with this number.
-std::string FreeAddress(int host) {
-  const std::string ip = "127.0.0." + std::to_string(host);
-  asio::io_context context;
-  const asio::ip::udp::socket socket(context, {asio::ip::make_address(ip), 0});
-  return ip + ":" + std::to_string(socket.local_endpoint().port());
-}
-
-/// A relay daemon that exchanges messages with the others over UDP.
-struct RelayDaemon {
-  RelayDaemon(asio::io_context& context, fakes::FakeTable& rows, int host)
-      : table(rows),
-        address(FreeAddress(host)),
-        peers(context,
-              state,
-              follower,
-              roster,
-              clock,
-              address,
-              [](const std::string&) {
-                return Result<std::shared_ptr<const Manifest>>(Configuration());
-              }),
-        server(context,
-               "127.0.0.1:0",
-               HttpLimits{},
-               [this](HttpExchange& exchange) {
-                 return handler.Handle(exchange);
-               }) {
-    state.Accept(Configuration());
-    asio::co_spawn(context, roster.Run(), asio::detached);
-    asio::co_spawn(context, peers.Receive(), asio::detached);
-    asio::co_spawn(context, peers.BroadcastStatus(), asio::detached);
-  }
-
-  SteadyClock clock;
-  RelayState state{"dc-0", RetryLimits{.ratio = 0.2, .extra = 100}};
-  SilentStore store;
-  FleetFollower<SilentStore, SteadyClock> follower{state, store, clock};
-  fakes::FaultyTable table;
-  std::string address;
-  RosterService<fakes::FaultyTable, SteadyClock> roster{state, table, clock,
-                                                        address, address};
-  PeerService<SilentStore, fakes::FaultyTable, SteadyClock> peers;
-  RelayHandler<platform::HttpRelayCodec, SteadyClock> handler{state, clock};
-  HttpServer server;
-};
-
 /// Endpoints of one model in three data centres, and relays in front of them.
 class Deployment {
  public:
@@ -167,7 +90,8 @@
 
   void AddDaemon() {
     const int host = 2 + static_cast<int>(daemons_.size());
-    daemons_.push_back(std::make_unique<RelayDaemon>(context_, rows_, host));
+    daemons_.push_back(std::make_unique<PeerRelay>(context_, rows_, host,
+                                                   "dc-0", Configuration()));
     for (std::size_t i = 0; i < kEndpoints; ++i) {
       Announce(*daemons_.back(), i);
     }
@@ -226,7 +150,7 @@
   asio::io_context& context() { return context_; }
 
  private:
-  void Announce(RelayDaemon& daemon, std::size_t index) const {
+  void Announce(PeerRelay& daemon, std::size_t index) const {
     EndpointRecord record;
     record.id = "m" + std::to_string(index);
     record.service = "model";
@@ -242,7 +166,7 @@
   fakes::FakeTable rows_;
   std::vector<std::uint64_t> runs_;
   std::vector<std::unique_ptr<CrashingEndpoint>> endpoints_;
-  std::vector<std::unique_ptr<RelayDaemon>> daemons_;
+  std::vector<std::unique_ptr<PeerRelay>> daemons_;
   std::size_t requests_ = 0;
   bool is_stopping_ = false;
 };
--- /dev/null
+++ b/tests/support/peer_relay.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "fakes/fake_table.h"
+#include "fakes/faulty_table.h"
+#include "http_relay_codec.h"
+#include "sycamoreford/adapters/fleet_follower.h"
+#include "sycamoreford/adapters/http_server.h"
+#include "sycamoreford/adapters/pause.h"
+#include "sycamoreford/adapters/peer_service.h"
+#include "sycamoreford/adapters/relay_handler.h"
+#include "sycamoreford/adapters/relay_state.h"
+#include "sycamoreford/adapters/roster_service.h"
+
+namespace sycamoreford::support {
+
+/// A store that never responds; the test sets the state of the daemons.
+struct SilentStore {
+  static boost::asio::awaitable<void> Wait() {
+    for (;;) {
+      co_await Pause(std::chrono::seconds(60));
+    }
+  }
+  static boost::asio::awaitable<Result<ManifestListing>> ReadManifest() {
+    co_await Wait();
+    co_return ManifestListing{};
+  }
+  static boost::asio::awaitable<Result<ManifestListing>> AwaitManifest(
+      std::uint64_t,
+      std::chrono::milliseconds) {
+    return ReadManifest();
+  }
+  static boost::asio::awaitable<Result<EndpointListing>> ReadEndpoints() {
+    co_await Wait();
+    co_return EndpointListing{};
+  }
+  static boost::asio::awaitable<Result<EndpointListing>> AwaitEndpoints(
+      std::uint64_t,
+      std::chrono::milliseconds) {
+    return ReadEndpoints();
+  }
+};
+
+/// A free UDP address on the loopback host with this number.
+inline std::string FreeAddress(int host) {
+  const std::string ip = "127.0.0." + std::to_string(host);
+  boost::asio::io_context context;
+  const boost::asio::ip::udp::socket socket(
+      context, {boost::asio::ip::make_address(ip), 0});
+  return ip + ":" + std::to_string(socket.local_endpoint().port());
+}
+
+/// A relay that exchanges messages with others over UDP. The test sets the
+/// endpoints that it knows.
+///
+/// Thread safety: none; used on the thread that runs the context.
+struct PeerRelay {
+  /// \param rows the table that all relays share.
+  /// \param host number of the loopback host of this relay.
+  PeerRelay(boost::asio::io_context& context,
+            fakes::FakeTable& rows,
+            int host,
+            const std::string& data_centre,
+            const std::shared_ptr<const Manifest>& manifest)
+      : state(data_centre, RetryLimits{.ratio = 0.2, .extra = 100}),
+        table(rows),
+        address(FreeAddress(host)),
+        peers(context,
+              state,
+              follower,
+              roster,
+              clock,
+              address,
+              [manifest](const std::string&) {
+                return Result<std::shared_ptr<const Manifest>>(manifest);
+              }),
+        server(context,
+               "127.0.0.1:0",
+               HttpLimits{},
+               [this](HttpExchange& exchange) {
+                 return handler.Handle(exchange);
+               }) {
+    state.Accept(manifest);
+    boost::asio::co_spawn(context, roster.Run(), boost::asio::detached);
+    boost::asio::co_spawn(context, peers.Receive(), boost::asio::detached);
+    boost::asio::co_spawn(context, peers.BroadcastStatus(),
+                          boost::asio::detached);
+  }
+
+  SteadyClock clock;
+  RelayState state;
+  SilentStore store;
+  FleetFollower<SilentStore, SteadyClock> follower{state, store, clock};
+  fakes::FaultyTable table;
+  std::string address;
+  RosterService<fakes::FaultyTable, SteadyClock> roster{state, table, clock,
+                                                        address, address};
+  PeerService<SilentStore, fakes::FaultyTable, SteadyClock> peers;
+  RelayHandler<platform::HttpRelayCodec, SteadyClock> handler{state, clock};
+  HttpServer server;
+};
+
+}  // namespace sycamoreford::support
