Split the relay handler into admission and two forwarders

Only moves code: what plain services, model services and both need stand in headers of their own; relay_handler.h keeps admission and the choice of the service.

--- /dev/null
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -0,0 +1,250 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include "sycamoreford/adapters/background_task.h"
+#include "sycamoreford/adapters/endpoint_attempt.h"
+#include "sycamoreford/adapters/request_processor.h"
+#include "sycamoreford/adapters/wake_signal.h"
+
+namespace sycamoreford {
+
+/// Forwards requests to endpoints of plain services, which have no engine.
+///
+/// Thread safety: none; runs on the thread of the `RelayState`.
+template <RelayCodec Codec, Clock TheClock>
+class EndpointForwarder : private RequestProcessor<Codec, TheClock> {
+  using Processor = RequestProcessor<Codec, TheClock>;
+  using typename Processor::RequestContext;
+
+ public:
+  /// Precondition: `state` and `clock` outlive this object.
+  EndpointForwarder(RelayState& state, const TheClock& clock)
+      : Processor(state, clock) {}
+
+  /// A request that may run again is sent to a further endpoint when the first
+  /// one does not respond in time, but that one may still respond first.
+  boost::asio::awaitable<void> Serve(HttpExchange& exchange,
+                                     RequestContext& context) {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    PendingAttempts pending(executor);
+    std::optional<HttpResponse> error_response;
+    for (;;) {
+      if (AreAllOverdue(pending)) {
+        OpenEndpointAttempt(executor, exchange.request(), context, pending);
+      }
+      if (pending.attempts.empty()) {
+        break;
+      }
+      co_await pending.ended.Wait(TimeUntilOverdue(context, pending));
+      co_await ThrowIfCallerGone();
+      auto response = TakeResponse(context, pending, error_response);
+      if (response) {
+        co_await exchange.Respond(std::move(*response));
+        co_return;
+      }
+      ReportOverdue(context, pending);
+    }
+    if (error_response) {
+      RecordOutcome(context, "endpoint_failed");
+      co_await exchange.Respond(std::move(*error_response));
+      co_return;
+    }
+    co_await Refuse(exchange, context, FinalRefusal(context));
+  }
+
+ private:
+  using ToEndpoint = EndpointAttempt<Codec, TheClock>;
+  using Processor::clock_;
+  using Processor::FinalRefusal;
+  using Processor::LogNotRun;
+  using Processor::LogResponseLost;
+  using Processor::MayBeSent;
+  using Processor::RecordFailedSend;
+  using Processor::RecordOutcome;
+  using Processor::Refuse;
+  using Processor::state_;
+  using Processor::ThrowIfCallerGone;
+  using Processor::TryAcquireSend;
+
+  /// An attempt that runs in the background.
+  struct PendingAttempt {
+    std::shared_ptr<ToEndpoint> attempt;
+    std::unique_ptr<BackgroundTask<AttemptStep>> task;
+  };
+
+  /// Attempts of one request that run at the same time; those that are left are
+  /// abandoned on destruction.
+  struct PendingAttempts {
+    explicit PendingAttempts(const boost::asio::any_io_executor& executor)
+        : ended(executor) {}
+    PendingAttempts(const PendingAttempts&) = delete;
+    PendingAttempts& operator=(const PendingAttempts&) = delete;
+    ~PendingAttempts() {
+      for (const PendingAttempt& pending : attempts) {
+        pending.attempt->Abandon();
+      }
+    }
+    /// Notified when an attempt has ended.
+    WakeSignal ended;
+    std::vector<PendingAttempt> attempts;
+  };
+
+  /// Whether the request may be sent to a further endpoint while others run it.
+  [[nodiscard]] static bool MayTryFurtherEndpoint(
+      const RequestContext& context) {
+    return context.MayRunAgain() &&
+           context.tried_endpoints.size() < context.route->max_attempts;
+  }
+
+  /// Whether no attempt is expected to respond in time.
+  [[nodiscard]] static bool AreAllOverdue(const PendingAttempts& pending) {
+    return std::all_of(
+        pending.attempts.begin(), pending.attempts.end(),
+        [](const PendingAttempt& it) { return it.attempt->is_overdue(); });
+  }
+
+  /// Time until the newest attempt is overdue; the time left if the request
+  /// must not run again, or if the attempt is overdue already.
+  [[nodiscard]] std::chrono::milliseconds TimeUntilOverdue(
+      const RequestContext& context,
+      const PendingAttempts& pending) const {
+    const TimePoint now = clock_.Now();
+    const ToEndpoint& newest = *pending.attempts.back().attempt;
+    if (!MayTryFurtherEndpoint(context) || newest.is_overdue()) {
+      return std::max(context.TimeLeft(now), relay::kMinTimeLeft);
+    }
+    return std::max(
+        std::chrono::ceil<std::chrono::milliseconds>(
+            newest.started_at() + context.route->target_latency - now),
+        std::chrono::milliseconds(0));
+  }
+
+  /// Reports endpoints that have not responded within the target latency.
+  void ReportOverdue(const RequestContext& context,
+                     const PendingAttempts& pending) const {
+    const TimePoint now = clock_.Now();
+    for (const PendingAttempt& it : pending.attempts) {
+      if (MayTryFurtherEndpoint(context) &&
+          now - it.attempt->started_at() >= context.route->target_latency) {
+        it.attempt->OnOverdue();
+      }
+    }
+  }
+
+  /// Sends the request to a further endpoint if that is possible.
+  void OpenEndpointAttempt(const boost::asio::any_io_executor& executor,
+                           const HttpRequest& request,
+                           RequestContext& context,
+                           PendingAttempts& pending) {
+    if (!MayBeSent(context) ||
+        context.tried_endpoints.size() >= context.route->max_attempts) {
+      return;
+    }
+    const KnownEndpoint* endpoint = state_.service_selector().Pick(
+        state_.directory(), context.service->name, clock_.Now(),
+        context.tried_endpoints, !context.MayRunAgain());
+    if (endpoint == nullptr || !TryAcquireSend(context)) {
+      return;
+    }
+    const EndpointRecord& record = endpoint->record;
+    ForwardOptions forward;
+    forward.endpoint_id = record.id;
+    forward.time_left = context.TimeLeft(clock_.Now());
+    forward.customer = context.customer;
+    auto attempt = std::make_shared<ToEndpoint>(
+        state_.service_selector(), clock_, executor,
+        EndpointAttemptOptions{.request_id = context.request.id,
+                               .endpoint = record.id,
+                               .address = record.address,
+                               .request = Codec::Encode(request, forward),
+                               .deadline = context.deadline,
+                               .connect_timeout = relay::kConnectTimeout,
+                               .max_response_bytes = relay::kMaxResponseBytes});
+    context.tried_endpoints.insert(record.id);
+    auto task = std::make_unique<BackgroundTask<AttemptStep>>(
+        executor, RunAttempt(attempt), AttemptStep::kLost,
+        [&pending] { pending.ended.Notify(); });
+    pending.attempts.push_back({std::move(attempt), std::move(task)});
+  }
+
+  static boost::asio::awaitable<AttemptStep> RunAttempt(
+      std::shared_ptr<ToEndpoint> attempt) {
+    co_return co_await attempt->Run();
+  }
+
+  /// Removes the attempts that have ended.
+  ///
+  /// \param error_response set to a response that is returned only if no other
+  ///     endpoint responds.
+  /// \returns a response for the caller, if there is one.
+  std::optional<HttpResponse> TakeResponse(
+      RequestContext& context,
+      PendingAttempts& pending,
+      std::optional<HttpResponse>& error_response) {
+    auto& attempts = pending.attempts;
+    for (auto it = attempts.begin(); it != attempts.end();) {
+      const std::optional<AttemptStep> step = it->task->result();
+      if (!step) {
+        ++it;
+        continue;
+      }
+      const auto attempt = std::move(it->attempt);
+      it = attempts.erase(it);
+      if (*step != AttemptStep::kResponse) {
+        OnAttemptFailed(context, *attempt, *step);
+        continue;
+      }
+      state_.directory().OnSuccess(attempt->endpoint());
+      if (!attempt->head().IsServerError()) {
+        PromptWatchFor(context, *attempt).OnComplete(clock_.Now());
+      }
+      if (!attempt->head().IsServerError() || !context.MayRunAgain()) {
+        RecordOutcome(context, attempt->head().IsServerError()
+                                   ? "endpoint_failed"
+                                   : "answered");
+        return attempt->TakeResponse();
+      }
+      error_response = attempt->TakeResponse();
+      RecordFailedSend(context, AttemptStep::kLost, attempt->endpoint());
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] PromptWatch PromptWatchFor(const RequestContext& context,
+                                           const ToEndpoint& attempt) {
+    return {state_.prompt_guard(), context.request.shared_parts,
+            attempt.endpoint(),
+            PromptGuard::RunOf(state_.directory(), attempt.endpoint())};
+  }
+
+  void OnAttemptFailed(RequestContext& context,
+                       const ToEndpoint& attempt,
+                       AttemptStep step) {
+    RecordFailedSend(context, step, attempt.endpoint());
+    if (step == AttemptStep::kNotSent) {
+      context.tried_endpoints.erase(attempt.endpoint());
+      state_.OnEndpointSuspected(attempt.endpoint(), "no_connection",
+                                 clock_.Now());
+    } else if (step == AttemptStep::kNotRun) {
+      LogNotRun(context, attempt.endpoint(), attempt.head());
+    } else {
+      LogResponseLost(context, attempt.endpoint(), attempt.failure(),
+                      attempt.has_begun());
+      if (attempt.failure().code == Errc::kConnectionLost) {
+        PromptWatchFor(context, attempt).OnConnectionLost(clock_.Now());
+      }
+    }
+  }
+};
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/adapters/request_context.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "sycamoreford/core/clock.h"
+#include "sycamoreford/relay/manifest.h"
+#include "sycamoreford/relay/relay_request.h"
+
+namespace sycamoreford {
+
+namespace relay {
+
+/// Maximum time to establish a connection to an endpoint. A lost SYN packet is
+/// retransmitted only after a second, and a dead VM never responds.
+inline constexpr std::chrono::milliseconds kConnectTimeout{400};
+/// Maximum number of failed attempts to connect, in which nothing was sent,
+/// before a request is refused.
+inline constexpr int kMaxConnectFailures = 3;
+/// A chain from which something has arrived within this time is not silent; of
+/// the order of the longest pause between the events of a chain at work.
+inline constexpr std::chrono::milliseconds kMinSilence{100};
+/// A sound endpoint is silent for about a second. The endpoints themselves end
+/// work that depends on a dead one after this time.
+inline constexpr std::chrono::milliseconds kMaxSoundSilence{2'000};
+/// Maximum size of a response that is buffered before it is forwarded.
+inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
+
+/// State of one request while it is processed.
+struct RequestContext {
+  RelayRequest request;
+  std::shared_ptr<const Manifest> manifest;
+  const RelayRoute* route = nullptr;
+  const RelayService* service = nullptr;
+  std::string customer;
+  std::uint32_t priority = 0;
+  TimePoint arrived_at{};
+  /// End of the time limit of the caller or the route, whichever is earlier.
+  TimePoint deadline{};
+  /// Number of times that it was sent to an endpoint.
+  int sends = 0;
+  int connect_failures = 0;
+  /// Whether an endpoint may have run the request.
+  bool may_have_run = false;
+  /// Whether the request is sent once although its prompt is quarantined.
+  bool is_trial = false;
+  /// Why the request was not sent again, for the log.
+  std::string_view last_denial;
+  /// What was last logged of an attempt that was silent.
+  std::string_view silence_outcome;
+  std::set<std::string> tried_endpoints;
+
+  [[nodiscard]] std::chrono::milliseconds TimeLeft(TimePoint now) const {
+    return std::max(
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now),
+        std::chrono::milliseconds(0));
+  }
+  /// Whether the request may be sent again after an endpoint may have run it.
+  [[nodiscard]] bool MayRunAgain() const noexcept {
+    return route->retry_policy != RetryPolicy::kAtMostOnce;
+  }
+};
+
+}  // namespace relay
+
+}  // namespace sycamoreford
--- /dev/null
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include "sycamoreford/adapters/attempt_step.h"
+#include "sycamoreford/adapters/http_server.h"
+#include "sycamoreford/adapters/relay_state.h"
+#include "sycamoreford/adapters/request_context.h"
+#include "sycamoreford/core/log.h"
+#include "sycamoreford/relay/relay_codec.h"
+#include "sycamoreford/relay/send_limits.h"
+
+namespace sycamoreford {
+
+/// What the processing of all requests has in common: whether a request may be
+/// sent, its refusal, and the record of how it ended.
+///
+/// Thread safety: none; runs on the thread of the `RelayState`.
+template <RelayCodec Codec, Clock TheClock>
+class RequestProcessor {
+ protected:
+  using RequestContext = relay::RequestContext;
+
+  /// Precondition: `state` and `clock` outlive this object.
+  RequestProcessor(RelayState& state, const TheClock& clock)
+      : state_(state), clock_(clock), random_(std::random_device{}()) {}
+
+  /// Whether the request must not be sent, or not again, because endpoints
+  /// crash under its prompt.
+  [[nodiscard]] bool IsQuarantined(const RequestContext& context) const {
+    const bool is_allowed_trial = context.is_trial && context.sends == 0;
+    return !is_allowed_trial &&
+           state_.prompt_guard().IsQuarantined(context.request.shared_parts);
+  }
+
+  /// Time since the request arrived.
+  [[nodiscard]] Duration Elapsed(const RequestContext& context) const {
+    return clock_.Now() - context.arrived_at;
+  }
+
+  boost::asio::awaitable<void> Refuse(HttpExchange& exchange,
+                                      const RequestContext& context,
+                                      Refusal refusal) {
+    LogEvent(Severity::kInfo, "refused")
+        .With("request", context.request.id)
+        .With("reason", ToString(refusal))
+        .With("route", context.route == nullptr ? "" : context.route->name)
+        .With("revision", context.manifest ? context.manifest->revision() : 0)
+        .With("sends", context.sends)
+        .With("after_ms", Elapsed(context));
+    RecordOutcome(context, ToString(refusal));
+    co_await exchange.Respond(
+        Codec::EncodeRefusal(refusal, relay::DrawRetryAfter(random_)));
+  }
+
+  void RecordOutcome(const RequestContext& context, std::string_view outcome) {
+    state_.metrics().OnEnded(
+        context.service == nullptr ? "" : context.service->name,
+        context.customer, outcome, Elapsed(context), context.sends);
+  }
+
+  /// The reason to return to the caller of a request without a response.
+  [[nodiscard]] Refusal FinalRefusal(const RequestContext& context) const {
+    const bool is_late = context.TimeLeft(clock_.Now()) < relay::kMinTimeLeft;
+    if (context.may_have_run) {
+      return is_late ? Refusal::kTimedOut : Refusal::kAnswerLost;
+    }
+    if (is_late) {
+      return Refusal::kTooLate;
+    }
+    return IsQuarantined(context) ? Refusal::kPromptQuarantined
+                                  : Refusal::kNoEndpoint;
+  }
+
+  /// Whether the request may be sent once more, apart from the retry budget.
+  bool MayBeSent(RequestContext& context) const {
+    context.last_denial = "";
+    if (context.connect_failures >= relay::kMaxConnectFailures) {
+      context.last_denial = "no_connection";
+    } else if (context.sends >= relay::kMaxSends) {
+      context.last_denial = "max_sends";
+    } else if (context.TimeLeft(clock_.Now()) < relay::kMinTimeLeft) {
+      context.last_denial = "no_time_left";
+    } else if (context.may_have_run && !context.MayRunAgain()) {
+      context.last_denial = "runs_at_most_once";
+    } else if (IsQuarantined(context)) {
+      context.last_denial = "prompt_quarantined";
+    }
+    return context.last_denial.empty();
+  }
+
+  /// Counts a send. If the request was sent before, acquires a retry from the
+  /// retry budget.
+  ///
+  /// \returns whether the request may be sent.
+  bool TryAcquireSend(RequestContext& context) {
+    if (context.sends > 0 &&
+        !state_.RetryBudgetFor(context.service->name)
+             .TryAcquire(clock_.Now(), state_.daemon_count())) {
+      context.last_denial = "retry_budget";
+      return false;
+    }
+    ++context.sends;
+    return true;
+  }
+
+  /// Records a send after which the caller has no complete response.
+  void RecordFailedSend(RequestContext& context,
+                        AttemptStep step,
+                        const std::string& endpoint) {
+    if (step == AttemptStep::kNotSent) {
+      --context.sends;
+      ++context.connect_failures;
+      return;
+    }
+    context.tried_endpoints.insert(endpoint);
+    context.may_have_run = context.may_have_run || step != AttemptStep::kNotRun;
+  }
+
+  /// Throws if the caller has disconnected, since the cancelled call would
+  /// otherwise be regarded as a failure of the endpoint.
+  static boost::asio::awaitable<void> ThrowIfCallerGone() {
+    const auto state = co_await boost::asio::this_coro::cancellation_state;
+    if (state.cancelled() != boost::asio::cancellation_type::none) {
+      throw boost::system::system_error(boost::asio::error::operation_aborted);
+    }
+  }
+
+  /// Logs and counts a response that was lost after the request was sent.
+  ///
+  /// \param has_begun whether the endpoint had begun to respond.
+  /// \param events number of events of the stream that were received so far.
+  void LogResponseLost(const RequestContext& context,
+                       const std::string& endpoint,
+                       const Failure& failure,
+                       bool has_begun,
+                       std::uint64_t events = 0) {
+    state_.metrics().OnResponseLost(context.service->name, has_begun);
+    LogEvent(Severity::kInfo, "answer_lost")
+        .With("request", context.request.id)
+        .With("endpoint", endpoint)
+        .With("reason", ToString(failure.code))
+        .With("where", failure.where)
+        .With("begun", has_begun ? "yes" : "no")
+        .With("events", events)
+        .With("shared_parts", ToString(context.request.shared_parts))
+        .With("sends", context.sends)
+        .With("after_ms", Elapsed(context));
+  }
+
+  void LogNotRun(const RequestContext& context,
+                 const std::string& endpoint,
+                 const ResponseHead& head) const {
+    LogEvent(Severity::kInfo, "endpoint_refused")
+        .With("request", context.request.id)
+        .With("endpoint", endpoint)
+        .With("status", head.status)
+        .With("sends", context.sends);
+  }
+
+  RelayState& state_;
+  const TheClock& clock_;
+
+ private:
+  std::minstd_rand random_;
+};
+
+}  // namespace sycamoreford
