Share the request limits that endpoints state among all daemons

No daemon read the limit. Now each keeps the same token bucket for such an endpoint. All daemons empty it by telling each other at once what they send; a daemon that has not been heard of keeps its part of the rate. Chains and endpoints without a token are passed over. What fits nowhere is refused with endpoint_limit and the time until a token is due.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -244,7 +244,8 @@
       selector_.OnReportedLoad(first_endpoint(), *head_.load, clock_.Now());
     }
     if (registration_ && head_.IsTrusted()) {
-      state_.OnStatedLimit(first_endpoint(), head_.request_limit);
+      state_.OnStatedLimit(first_endpoint(), head_.request_limit, sent_at_,
+                           clock_.Now());
     }
     if (head_.is_not_run) {
       return AttemptStep::kNotRun;
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -103,6 +104,7 @@
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
   using Processor::MayBeSent;
+  using Processor::OnLimited;
   using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
   using Processor::Refuse;
@@ -169,17 +171,27 @@
     const double tokens = ExpectedTokens(context);
     const bool only_tried =
         context.tried_endpoints.size() >= context.route->max_attempts;
-    const ServingChain* chain =
-        state_.ChainSelectorFor(*context.service, clock_.Now())
-            .Pick(tokens, state_.daemon_count(), context.tried_endpoints,
-                  only_tried, clock_.Now());
+    const TimePoint now = clock_.Now();
+    const ChainSelector& selector =
+        state_.ChainSelectorFor(*context.service, now);
+    const auto pick = [&](const std::set<std::string>& excluded) {
+      return selector.Pick(tokens, state_.daemon_count(),
+                           context.tried_endpoints, only_tried, now, excluded);
+    };
+    const ServingChain* chain = pick(state_.limits().Exhausted(now));
     if (chain == nullptr) {
-      context.last_denial = "no_chain";
+      const ServingChain* limited = pick({});
+      if (limited != nullptr) {
+        OnLimited(context, limited->stages.front().endpoint.value());
+      } else {
+        context.last_denial = "no_chain";
+      }
       return nullptr;
     }
     if (!TryAcquireSend(context)) {
       return nullptr;
     }
+    state_.OnSent(chain->stages.front().endpoint.value(), now);
     position.Restart();
     const Chain stages = chain->stages;
     HttpRequest encoded =
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -69,6 +71,7 @@
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
   using Processor::MayBeSent;
+  using Processor::OnLimited;
   using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
   using Processor::Refuse;
@@ -150,13 +153,28 @@
         context.tried_endpoints.size() >= context.route->max_attempts) {
       return;
     }
-    const KnownEndpoint* endpoint = state_.service_selector().Pick(
-        state_.directory(), context.service->name, clock_.Now(),
-        context.tried_endpoints, !context.MayRunAgain());
-    if (endpoint == nullptr || !TryAcquireSend(context)) {
+    const TimePoint now = clock_.Now();
+    const auto pick = [&](const std::set<std::string>& excluded) {
+      return state_.service_selector().Pick(state_.directory(),
+                                            context.service->name, now,
+                                            excluded, !context.MayRunAgain());
+    };
+    auto excluded = state_.limits().Exhausted(now);
+    excluded.insert(context.tried_endpoints.begin(),
+                    context.tried_endpoints.end());
+    const KnownEndpoint* endpoint = pick(excluded);
+    if (endpoint == nullptr) {
+      const KnownEndpoint* limited = pick(context.tried_endpoints);
+      if (limited != nullptr) {
+        OnLimited(context, limited->record.id);
+      }
+      return;
+    }
+    if (!TryAcquireSend(context)) {
       return;
     }
     const EndpointRecord& record = endpoint->record;
+    state_.OnSent(record.id, now);
     ForwardOptions forward;
     forward.endpoint_id = record.id;
     forward.time_left = context.TimeLeft(clock_.Now());
@@ -200,6 +218,7 @@
       }
       const auto attempt = std::move(it->attempt);
       it = attempts.erase(it);
+      ReportLimit(*attempt);
       if (*step != AttemptStep::kResponse) {
         OnAttemptFailed(context, *attempt, *step);
         continue;
@@ -220,6 +239,15 @@
     return std::nullopt;
   }
 
+  /// Reports the limit that an endpoint stated with its response, if any.
+  void ReportLimit(const ToEndpoint& attempt) const {
+    if (attempt.has_begun() &&
+        (attempt.head().IsTrusted() || attempt.head().is_not_run)) {
+      state_.OnStatedLimit(attempt.endpoint(), attempt.head().request_limit,
+                           attempt.started_at(), clock_.Now());
+    }
+  }
+
   [[nodiscard]] PromptWatch PromptWatchFor(const RequestContext& context,
                                            const ToEndpoint& attempt) {
     return {state_.prompt_guard(), context.request.shared_parts,
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -74,17 +74,21 @@
   static constexpr std::chrono::milliseconds kSlownessCheckInterval{2'000};
 
   /// Fetches and evaluates the report of an endpoint. Does nothing while
-  /// another inspection of the endpoint is running.
+  /// another inspection of the endpoint is running, or if its limit does not
+  /// allow one.
   boost::asio::awaitable<void> Inspect(std::string id) {
     const KnownEndpoint* known = state_.directory().Find(id);
     if (known == nullptr || known->record.kind.empty()) {
       // Endpoints of plain services have no report; a suspicion just ends.
       co_return;
     }
-    if (!pending_inspections_.insert(id).second) {
+    if (!state_.limits().MayOverdraw(id, clock_.Now()) ||
+        !pending_inspections_.insert(id).second) {
       co_return;
     }
     const std::string address = known->record.address;
+    const TimePoint sent_at = clock_.Now();
+    state_.OnSent(id, sent_at);
     const auto report = co_await control_.FetchReport(address);
     pending_inspections_.erase(id);
     if (!report) {
@@ -99,7 +103,7 @@
     }
     state_.directory().OnLayers(id, report->layers);
     state_.OnSlowness(id, report->slowness);
-    state_.OnStatedLimit(id, report->request_limit);
+    state_.OnStatedLimit(id, report->request_limit, sent_at, clock_.Now());
     state_.directory().OnAlive(id, clock_.Now());
     std::set<std::string> faulty_stages;
     for (const StalledRequest& stalled : report->stalled) {
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -11,14 +11,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "sycamoreford/relay/endpoint_limits.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
 #include "sycamoreford/relay/prompt_quarantine.h"
 
 namespace sycamoreford {
 
 /// A message from one daemon to the others: a report about an endpoint, a
-/// report about a suspected prompt part, or the sender's retry usage and
-/// configuration revision.
+/// report about a suspected prompt part, reports about the limits of endpoints,
+/// or the sender's retry usage and configuration revision.
 struct PeerMessage {
   /// Id of the endpoint; empty if the message carries retry usage.
   std::string endpoint;
@@ -26,6 +27,7 @@
   /// another fault.
   std::optional<double> slowness;
   std::optional<PromptPartReport> prompt_part;
+  std::vector<EndpointLimitReport> limits;
   /// Service that `usage` belongs to.
   std::string service;
   RetryUsage usage;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -66,6 +66,7 @@
           message.slowness = slowness;
           datagrams_.Send(roster_.roster().Addresses(clock_.Now()), message);
         });
+    state_.SetLimitNotifier([this] { SendDueLimits(); });
     state_.prompt_guard().SetPeerNotifier([this](const PromptPartReport& it) {
       SendReport(roster_.roster().Addresses(clock_.Now()), it);
     });
@@ -95,6 +96,16 @@
     }
   }
 
+  /// Sends the reports on limits that were held back, or that are due without
+  /// news; does not return.
+  boost::asio::awaitable<void> BroadcastLimits() {
+    for (;;) {
+      co_await Pause(state_.limits().count() > 0 ? kLimitInterval
+                                                 : kStatusInterval);
+      SendDueLimits();
+    }
+  }
+
   /// Fetches the configuration and the endpoints from other daemons until both
   /// are known, unless the store provides them first.
   ///
@@ -131,6 +142,10 @@
  private:
   /// Interval between two status messages, with few daemons.
   static constexpr std::chrono::milliseconds kStatusInterval{400};
+  /// Interval at which limits are looked at while some are in force.
+  static constexpr std::chrono::milliseconds kLimitInterval{50};
+  /// Reports on limits in one message, so that they fit into a datagram.
+  static constexpr std::size_t kLimitsPerMessage = 4;
   /// A reachable store responds within this time after the start.
   static constexpr std::chrono::milliseconds kInitialFetchDelay{600};
   /// Interval between two rounds of requests to the seeds.
@@ -148,6 +163,26 @@
     datagrams_.Send(addresses, message);
   }
 
+  void SendDueLimits() {
+    const TimePoint now = clock_.Now();
+    const auto reports = state_.limits().DueReports(now);
+    if (!reports.empty()) {
+      SendLimits(roster_.roster().Addresses(now), reports);
+    }
+  }
+
+  void SendLimits(const std::vector<std::string>& addresses,
+                  const std::vector<EndpointLimitReport>& reports) {
+    for (std::size_t i = 0; i < reports.size(); i += kLimitsPerMessage) {
+      PeerMessage message;
+      message.limits.assign(
+          reports.begin() + static_cast<std::ptrdiff_t>(i),
+          reports.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                reports.size(), i + kLimitsPerMessage)));
+      datagrams_.Send(addresses, message);
+    }
+  }
+
   /// A daemon that has just started is not listed yet, so that it gets no
   /// messages but replies to its own.
   void ReplyToUnlisted(const std::string& from) {
@@ -159,6 +194,7 @@
     for (const auto& report : state_.prompt_guard().QuarantineReports(now)) {
       SendReport({from}, report);
     }
+    SendLimits({from}, state_.limits().Reports(now));
   }
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
@@ -166,6 +202,12 @@
       state_.prompt_guard().OnReport(*message.prompt_part, clock_.Now());
       return;
     }
+    if (!message.limits.empty()) {
+      for (const EndpointLimitReport& report : message.limits) {
+        state_.OnLimitReport(report, from, clock_.Now());
+      }
+      return;
+    }
     if (message.slowness) {
       // Not forwarded: the daemon that received the endpoint's report has
       // already sent it to all others.
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -122,6 +122,7 @@
         continue;
       }
       next_check = clock_.Now() + kSuspectCheckInterval;
+      state_.OnSent(id, clock_.Now());
       const auto report = co_await control_.FetchReport(address);
       const KnownEndpoint* known = state_.directory().Find(id);
       const bool is_same_run =
@@ -162,6 +163,7 @@
       co_return;
     }
     const std::string address = known->record.address;
+    state_.OnSent(change.accelerator_id, clock_.Now());
     const auto report = co_await control_.FetchReport(address);
     const auto token = lease_.Token();
     if (!report || !token || report->is_busy) {
@@ -190,6 +192,7 @@
     order.layers = change.layers;
     order.fencing = *token;
     order.expected_sequence = report->order_sequence;
+    state_.OnSent(change.accelerator_id, clock_.Now());
     const auto outcome = co_await control_.SendOrder(address, order);
     LogEvent(Severity::kInfo, "order_given")
         .With("endpoint", change.accelerator_id)
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -16,6 +16,7 @@
 #include "sycamoreford/fleet/endpoint_directory.h"
 #include "sycamoreford/relay/chain_selector.h"
 #include "sycamoreford/relay/chain_stall_detector.h"
+#include "sycamoreford/relay/endpoint_limits.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
 #include "sycamoreford/relay/manifest.h"
 #include "sycamoreford/relay/relay_metrics.h"
@@ -92,9 +93,10 @@
   /// Position of this daemon in the order of all daemons, from 0. The first
   /// ones take on tasks that only some daemons have.
   [[nodiscard]] std::size_t rank() const noexcept { return rank_; }
-  void SetDaemons(std::uint32_t daemon_count, std::size_t rank) noexcept {
+  void SetDaemons(std::uint32_t daemon_count, std::size_t rank) {
     daemon_count_ = daemon_count;
     rank_ = rank;
+    limits_.SetDaemons(daemon_count, interval_factor());
   }
   /// Factor for the intervals of calls that every daemon makes, so that the
   /// total rate of calls does not grow with the number of daemons.
@@ -137,14 +139,31 @@
   /// when chains are built, by this and by the other daemons.
   void OnSlowness(const std::string& id, double slowness);
 
-  /// Called for each response of an endpoint, with the requests per second that
-  /// it accepts from all daemons; empty if it states no limit.
-  void OnStatedLimit(const std::string& id, std::optional<double> limit);
-  /// Number of endpoints that state a limit.
-  [[nodiscard]] std::size_t limited_endpoint_count() const noexcept {
-    return stated_limits_.size();
+  [[nodiscard]] EndpointLimits& limits() noexcept { return limits_; }
+
+  /// Sets the function that sends the due reports on limits to other daemons.
+  void SetLimitNotifier(std::function<void()> notify) {
+    notify_limits_ = std::move(notify);
   }
 
+  /// Called for each response of an endpoint.
+  ///
+  /// \param per_second requests per second that the endpoint accepts from all
+  ///     daemons together; empty if the response states no limit.
+  /// \param sent_at when the request was sent.
+  void OnStatedLimit(const std::string& id,
+                     std::optional<double> per_second,
+                     TimePoint sent_at,
+                     TimePoint now);
+
+  /// Called when another daemon reported on the limit of an endpoint.
+  void OnLimitReport(const EndpointLimitReport& report,
+                     const std::string& daemon,
+                     TimePoint now);
+
+  /// Called for each request, inspection and order that is sent to an endpoint.
+  void OnSent(const std::string& id, TimePoint now);
+
   /// Called when an endpoint did not respond, or responded as if it had lost
   /// its requests. It is not used for a while. It may be sound nonetheless, so
   /// its requests are not ended: the calls on chains that contain it are
@@ -160,6 +179,9 @@
   void InterruptSilentAttempts(TimePoint now);
 
  private:
+  /// Logs the limit of an endpoint that has changed.
+  void LogLimit(const std::string& id) const;
+
   struct ServiceChains {
     ChainSelector selector;
     /// Data centres without a chain and the layers missing there, as last
@@ -182,11 +204,12 @@
   std::map<std::string, ServiceChains> chains_;
   std::map<std::string, FleetRetryBudget> retry_budgets_;
   std::list<ActiveAttempt> attempts_;
-  std::map<std::string, double> stated_limits_;
+  EndpointLimits limits_;
   std::uint32_t daemon_count_;
   std::size_t rank_ = 0;
   std::function<void(std::string)> inspect_;
   std::function<void(const std::string&, std::optional<double>)> notify_peers_;
+  std::function<void()> notify_limits_;
 };
 
 /// The accelerators that can run layers of a service.
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -49,8 +49,10 @@
   bool may_have_run = false;
   /// Whether the request is sent once although its prompt is quarantined.
   bool is_trial = false;
-  /// Why the request was not sent again, for the log.
+  /// Why the request was not sent, or not sent again.
   std::string_view last_denial;
+  /// Time after which the limits of endpoints may allow the request.
+  std::chrono::milliseconds allowed_after{0};
   /// What was last logged of an attempt that was silent.
   std::string_view silence_outcome;
   std::set<std::string> tried_endpoints;
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -57,8 +57,8 @@
         .With("sends", context.sends)
         .With("after_ms", Elapsed(context));
     RecordOutcome(context, ToString(refusal));
-    co_await exchange.Respond(
-        Codec::EncodeRefusal(refusal, relay::DrawRetryAfter(random_)));
+    co_await exchange.Respond(Codec::EncodeRefusal(
+        refusal, relay::DrawRetryAfter(random_, context.allowed_after)));
   }
 
   void RecordOutcome(const RequestContext& context, std::string_view outcome) {
@@ -76,8 +76,11 @@
     if (is_late) {
       return Refusal::kTooLate;
     }
-    return IsQuarantined(context) ? Refusal::kPromptQuarantined
-                                  : Refusal::kNoEndpoint;
+    if (IsQuarantined(context)) {
+      return Refusal::kPromptQuarantined;
+    }
+    return context.last_denial == kEndpointLimit ? Refusal::kEndpointLimit
+                                                 : Refusal::kNoEndpoint;
   }
 
   /// Whether the request may be sent once more, apart from the retry budget.
@@ -97,6 +100,14 @@
     return context.last_denial.empty();
   }
 
+  /// Records that only the limit of an endpoint, or of several ones, does not
+  /// allow the request.
+  void OnLimited(RequestContext& context, const std::string& endpoint) {
+    context.last_denial = kEndpointLimit;
+    context.allowed_after = std::chrono::ceil<std::chrono::milliseconds>(
+        state_.limits().TimeUntilAvailable(endpoint, clock_.Now()));
+  }
+
   /// Counts a send. If the request was sent before, acquires a retry from the
   /// retry budget.
   ///
@@ -170,6 +181,8 @@
   const TheClock& clock_;
 
  private:
+  static constexpr std::string_view kEndpointLimit = "endpoint_limit";
+
   std::minstd_rand random_;
 };
 
--- a/include/sycamoreford/relay/chain_selector.h
+++ b/include/sycamoreford/relay/chain_selector.h
@@ -44,13 +44,16 @@
   /// \param tried first endpoints that the request was already sent to; others
   ///     are preferred.
   /// \param only_tried whether the request may only be sent to `tried`.
+  /// \param excluded first endpoints to which nothing may be sent at present.
   /// \returns null when no chain has enough capacity left. Valid until
   ///     `SetChains`.
-  [[nodiscard]] const ServingChain* Pick(double tokens,
-                                         std::uint32_t daemons,
-                                         const std::set<std::string>& tried,
-                                         bool only_tried,
-                                         TimePoint now) const;
+  [[nodiscard]] const ServingChain* Pick(
+      double tokens,
+      std::uint32_t daemons,
+      const std::set<std::string>& tried,
+      bool only_tried,
+      TimePoint now,
+      const std::set<std::string>& excluded = {}) const;
 
   /// Records a load report of the first endpoint of a chain.
   void OnReportedLoad(const std::string& first,
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -90,6 +90,9 @@
   kNoConfiguration,
   /// No endpoint can accept it at present; the request has not run.
   kNoEndpoint,
+  /// The limits that endpoints state allow no further request at present; the
+  /// request has not run.
+  kEndpointLimit,
   /// Endpoints crash under a part of the prompt; the request has not run.
   kPromptQuarantined,
   /// The daemon is stopping; the request has not run.
--- a/include/sycamoreford/relay/send_limits.h
+++ b/include/sycamoreford/relay/send_limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <random>
@@ -13,11 +14,16 @@
 inline constexpr std::chrono::milliseconds kMinRetryAfter{300};
 inline constexpr std::chrono::milliseconds kMaxRetryAfter{1'500};
 /// Returns a random retry-after time for a rejected request.
+///
+/// \param earliest time before which a retry would be rejected as well.
 template <class Random>
-[[nodiscard]] std::chrono::milliseconds DrawRetryAfter(Random& random) {
+[[nodiscard]] std::chrono::milliseconds DrawRetryAfter(
+    Random& random,
+    std::chrono::milliseconds earliest = kMinRetryAfter) {
   std::uniform_int_distribution<std::int64_t> distribution(
-      kMinRetryAfter.count(), kMaxRetryAfter.count());
-  return std::chrono::milliseconds(distribution(random));
+      0, (kMaxRetryAfter - kMinRetryAfter).count());
+  return std::max(earliest, kMinRetryAfter) +
+         std::chrono::milliseconds(distribution(random));
 }
 
 /// A request with less time left is not sent: no endpoint could respond in
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -101,12 +101,39 @@
   return report;
 }
 
+json::array ToJson(const std::vector<EndpointLimitReport>& reports) {
+  json::array array;
+  for (const EndpointLimitReport& report : reports) {
+    json::object object = {{"endpoint", report.endpoint},
+                           {"age", ToMs(report.age)},
+                           {"sends", report.sends}};
+    if (report.per_second) {
+      object["rate"] = *report.per_second;
+    }
+    array.push_back(std::move(object));
+  }
+  return array;
+}
+
+EndpointLimitReport ToLimitReport(const json::object& object) {
+  EndpointLimitReport report;
+  report.endpoint = json::value_to<std::string>(object.at("endpoint"));
+  report.age = ToAge(object.at("age"));
+  report.sends = object.at("sends").to_number<std::uint64_t>();
+  if (const json::value* rate = object.if_contains("rate")) {
+    report.per_second = rate->to_number<double>();
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string PeerMessage::ToText() const {
   json::object object;
   if (prompt_part) {
     object = ToJson(*prompt_part);
+  } else if (!limits.empty()) {
+    object["limits"] = ToJson(limits);
   } else if (!endpoint.empty()) {
     object["trouble"] = endpoint;
     if (slowness) {
@@ -130,6 +157,12 @@
       message.prompt_part = ToPromptPartReport(object);
       return message;
     }
+    if (const json::value* limits = object.if_contains("limits")) {
+      for (const json::value& report : limits->as_array()) {
+        message.limits.push_back(ToLimitReport(report.as_object()));
+      }
+      return message;
+    }
     if (const json::value* trouble = object.if_contains("trouble")) {
       message.endpoint = json::value_to<std::string>(*trouble);
       if (const json::value* slowness = object.if_contains("slowness")) {
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -70,7 +70,9 @@
     : data_centre_(std::move(data_centre)),
       retry_limits_(retry_limits),
       service_selector_(data_centre_),
-      daemon_count_(kAssumedDaemonCount) {}
+      daemon_count_(kAssumedDaemonCount) {
+  limits_.SetDaemons(daemon_count_, interval_factor());
+}
 
 bool RelayState::Accept(std::shared_ptr<const Manifest> manifest) {
   const std::uint64_t old = manifest_ ? manifest_->revision() : 0;
@@ -203,23 +205,43 @@
 }
 
 void RelayState::OnStatedLimit(const std::string& id,
-                               std::optional<double> limit) {
-  const auto known = stated_limits_.find(id);
-  const bool was_limited = known != stated_limits_.end();
-  if (limit ? was_limited && known->second == *limit : !was_limited) {
+                               std::optional<double> per_second,
+                               TimePoint sent_at,
+                               TimePoint now) {
+  if (!limits_.OnResponse(id, per_second, sent_at, now)) {
     return;
   }
-  if (limit) {
-    constexpr double kSecondsPerMinute = 60;
-    stated_limits_[id] = *limit;
-    LogEvent(Severity::kInfo, "endpoint_limited")
-        .With("endpoint", id)
-        .With("per_minute",
-              static_cast<std::int64_t>(*limit * kSecondsPerMinute));
-  } else {
-    stated_limits_.erase(known);
+  LogLimit(id);
+  if (notify_limits_) {
+    notify_limits_();
+  }
+}
+
+void RelayState::OnLimitReport(const EndpointLimitReport& report,
+                               const std::string& daemon,
+                               TimePoint now) {
+  if (limits_.OnReport(report, daemon, now)) {
+    LogLimit(report.endpoint);
+  }
+}
+
+void RelayState::OnSent(const std::string& id, TimePoint now) {
+  if (limits_.OnSent(id, now) && notify_limits_) {
+    notify_limits_();
+  }
+}
+
+void RelayState::LogLimit(const std::string& id) const {
+  const auto per_second = limits_.Find(id);
+  if (!per_second) {
     LogEvent(Severity::kInfo, "endpoint_limit_ended").With("endpoint", id);
+    return;
   }
+  constexpr double kSecondsPerMinute = 60;
+  LogEvent(Severity::kInfo, "endpoint_limited")
+      .With("endpoint", id)
+      .With("per_minute",
+            static_cast<std::int64_t>(*per_second * kSecondsPerMinute));
 }
 
 void RelayState::Inspect(const std::string& id) {
--- a/src/relay/chain_selector.cc
+++ b/src/relay/chain_selector.cc
@@ -46,17 +46,19 @@
   return max_tokens * std::max(1U, daemons);
 }
 
-const ServingChain* ChainSelector::Pick(double tokens,
-                                        std::uint32_t daemons,
-                                        const std::set<std::string>& tried,
-                                        bool only_tried,
-                                        TimePoint now) const {
+const ServingChain* ChainSelector::Pick(
+    double tokens,
+    std::uint32_t daemons,
+    const std::set<std::string>& tried,
+    bool only_tried,
+    TimePoint now,
+    const std::set<std::string>& excluded) const {
   const ServingChain* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const ServingChain& chain : chains_) {
     const std::string& first = chain.stages.front().endpoint.value();
     const bool was_tried = tried.contains(first);
-    if (only_tried && !was_tried) {
+    if ((only_tried && !was_tried) || excluded.contains(first)) {
       continue;
     }
     const double used_share =
--- a/tests/endpoint_limit_path_test.cc
+++ b/tests/endpoint_limit_path_test.cc
@@ -57,7 +57,7 @@
   return builder.AddService(model).AddService(plain).Build();
 }
 
-/// An endpoint of both services that responds at once and may state a limit.
+/// An endpoint of both services that may state a limit.
 class LimitedEndpoint {
  public:
   explicit LimitedEndpoint(asio::io_context& context) : endpoint_(context) {
@@ -69,6 +69,7 @@
 
   /// Header of all responses; empty to state no limit.
   std::string limit_header;
+  milliseconds response_time{0};
 
   [[nodiscard]] std::string address() const { return endpoint_.address(); }
 
@@ -96,12 +97,13 @@
                        "\r\nX-Response-Seal: s\r\n" + limit_header;
     if (request.target.starts_with("/plain")) {
       head += "Content-Length: 4\r\n\r\nbody";
-      return {fakes::Send(head), fakes::Close()};
+      return {fakes::Wait(response_time), fakes::Send(head), fakes::Close()};
     }
     head +=
         "Content-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\n\r\n";
-    return {fakes::Send(head + support::Part(support::Event(0))),
+    return {fakes::Wait(response_time),
+            fakes::Send(head + support::Part(support::Event(0))),
             fakes::Wait(milliseconds(50)),
             fakes::Send(support::Part(support::Event(1)) + support::BodyEnd()),
             fakes::Close()};
@@ -128,6 +130,8 @@
     for (int i = 0; i < 2; ++i) {
       endpoints.push_back(std::make_unique<LimitedEndpoint>(context_));
     }
+    // Requests go to the first endpoint while it takes them.
+    endpoints.back()->response_time = milliseconds(40);
     for (int i = 0; i < 4; ++i) {
       AddDaemon();
     }
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -94,6 +94,8 @@
     boost::asio::co_spawn(context, peers.Receive(), boost::asio::detached);
     boost::asio::co_spawn(context, peers.BroadcastStatus(),
                           boost::asio::detached);
+    boost::asio::co_spawn(context, peers.BroadcastLimits(),
+                          boost::asio::detached);
   }
 
   SteadyClock clock;
