Build chains past endpoints to which only a few requests may be sent

Callers were told to come back later while most of a limited chain stood idle: the limit of the first endpoint of a chain holds back all stages behind it, and the chains of other data centres were full.

While such a limit is in force, chains are also built from the other accelerators that hold the first layers. They share the later stages, so the load of overlapping chains is added up before a request is admitted.

--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -70,7 +70,8 @@
   void SetRetryLimits(RetryLimits limits);
 
   /// The selector for the current chains of a service. Rebuilds them if the
-  /// endpoints or the configuration have changed, or a suspicion has ended.
+  /// endpoints, their limits or the configuration have changed, or a suspicion
+  /// has ended.
   ///
   /// \param requested the service as the request knows it; the configuration in
   ///     force decides unless it no longer contains the service.
@@ -189,6 +190,7 @@
     std::string missing_layers;
     std::uint64_t directory_version = 0;
     std::uint64_t revision = 0;
+    std::uint64_t limits_version = 0;
     /// Earliest end of a suspicion, after which an endpoint is usable again.
     TimePoint valid_until{};
   };
--- a/include/sycamoreford/placement/chain_builder.h
+++ b/include/sycamoreford/placement/chain_builder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,12 @@
   /// Time of one decode step through all stages, without other requests.
   std::chrono::duration<double, std::milli> decode_step_time{0};
 
+  [[nodiscard]] const std::string& first_endpoint() const {
+    return stages.front().endpoint.value();
+  }
   [[nodiscard]] bool Uses(const std::string& endpoint) const noexcept;
+  /// Whether the chains have a stage in common.
+  [[nodiscard]] bool Overlaps(const ServingChain& other) const noexcept;
 };
 
 /// Ids of the accelerators used by any of the chains.
@@ -31,6 +37,20 @@
     const EngineProfile& profile,
     const std::vector<Accelerator>& accelerators);
 
+/// Builds further chains of one data centre for the case that only a few
+/// requests may be sent to some endpoints. The chains avoid these endpoints and
+/// may share other stages with `chains`.
+///
+/// \param chains result of `BuildChains` for the same accelerators.
+/// \param limited endpoints to avoid.
+/// \returns chains whose first endpoint is not the first one of any of
+/// `chains`.
+[[nodiscard]] std::vector<ServingChain> BuildBypassChains(
+    const EngineProfile& profile,
+    std::vector<Accelerator> accelerators,
+    const std::vector<ServingChain>& chains,
+    const std::set<std::string>& limited);
+
 /// Builds the chains of one data centre from the layers that its accelerators
 /// hold. The fastest chain with enough token capacity is built first, then
 /// further ones from the remaining accelerators. An accelerator is in at most
--- a/include/sycamoreford/relay/chain_selector.h
+++ b/include/sycamoreford/relay/chain_selector.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,8 @@
 /// are added or subtracted. Without a recent report, each other daemon is
 /// assumed to have as many tokens in flight as this one.
 ///
+/// Chains that have stages in common share the memory of these.
+///
 /// When a data centre loses its chain, its requests go to the chains of other
 /// data centres; a request that fits nowhere is rejected immediately.
 ///
@@ -74,9 +77,15 @@
     TimePoint received_at{};
   };
 
+  /// Tokens in flight on a chain and on those that overlap with it.
   [[nodiscard]] double EstimateTokensInFlight(const ServingChain& chain,
                                               std::uint32_t daemons,
                                               TimePoint now) const;
+  /// Tokens in flight that were sent to the first endpoint of a chain, by its
+  /// last report; nothing without a recent one.
+  [[nodiscard]] std::optional<double> ReportedTokens(const std::string& first,
+                                                     TimePoint now) const;
+  [[nodiscard]] double OwnTokens(const std::string& endpoint) const;
 
   std::string data_centre_;
   std::vector<ServingChain> chains_;
--- a/include/sycamoreford/relay/endpoint_limits.h
+++ b/include/sycamoreford/relay/endpoint_limits.h
@@ -80,8 +80,12 @@
 
   /// The limit in force; nothing if there is none.
   [[nodiscard]] std::optional<double> Find(const std::string& endpoint) const;
+  /// The endpoints with a limit in force.
+  [[nodiscard]] std::set<std::string> InForce() const;
   /// Number of endpoints with a limit in force.
   [[nodiscard]] std::size_t count() const;
+  /// Incremented by each change of the limits in force.
+  [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
   /// Number of limits that were ignored for lack of room.
   [[nodiscard]] std::uint64_t ignored_count() const noexcept {
     return ignored_count_;
@@ -133,6 +137,7 @@
   std::map<std::string, Entry> entries_;
   std::uint32_t daemons_ = 1;
   std::uint32_t interval_factor_ = 1;
+  std::uint64_t version_ = 0;
   std::uint64_t ignored_count_ = 0;
 };
 
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -96,11 +96,13 @@
       service.name, ServiceChains{.selector = ChainSelector(data_centre_)});
   ServiceChains& cached = entry->second;
   if (cached.directory_version == directory_.version() &&
-      cached.revision == manifest_->revision() && now < cached.valid_until) {
+      cached.revision == manifest_->revision() &&
+      cached.limits_version == limits_.version() && now < cached.valid_until) {
     return cached.selector;
   }
   cached.directory_version = directory_.version();
   cached.revision = manifest_->revision();
+  cached.limits_version = limits_.version();
   cached.valid_until = TimePoint::max();
   for (const auto& [id, endpoint] : directory_.endpoints()) {
     if (endpoint.suspected_until > now) {
@@ -118,7 +120,10 @@
                         ":" +
                         Describe(MissingLayers(*service.engine, accelerators));
     }
+    auto bypasses = BuildBypassChains(*service.engine, accelerators, built,
+                                      limits_.InForce());
     std::move(built.begin(), built.end(), std::back_inserter(chains));
+    std::move(bypasses.begin(), bypasses.end(), std::back_inserter(chains));
   }
   if (missing_layers != cached.missing_layers) {
     cached.missing_layers = missing_layers;
--- a/src/placement/chain_builder.cc
+++ b/src/placement/chain_builder.cc
@@ -178,6 +178,13 @@
                      });
 }
 
+bool ServingChain::Overlaps(const ServingChain& other) const noexcept {
+  return std::any_of(stages.begin(), stages.end(),
+                     [&](const ChainStage& stage) {
+                       return other.Uses(stage.endpoint.value());
+                     });
+}
+
 std::vector<std::string> AcceleratorsInUse(
     const std::vector<ServingChain>& chains) {
   std::vector<std::string> ids;
@@ -244,4 +251,28 @@
   }
 }
 
+std::vector<ServingChain> BuildBypassChains(
+    const EngineProfile& profile,
+    std::vector<Accelerator> accelerators,
+    const std::vector<ServingChain>& chains,
+    const std::set<std::string>& limited) {
+  std::set<std::string> first_endpoints;
+  for (const ServingChain& chain : chains) {
+    first_endpoints.insert(chain.first_endpoint());
+  }
+  std::vector<ServingChain> bypasses;
+  // A bypass may begin at a limited endpoint as well; the next one avoids it.
+  while (std::erase_if(accelerators, [&](const Accelerator& accelerator) {
+           return first_endpoints.contains(accelerator.id) &&
+                  limited.contains(accelerator.id);
+         }) > 0) {
+    for (ServingChain& chain : BuildChains(profile, accelerators)) {
+      if (first_endpoints.insert(chain.first_endpoint()).second) {
+        bypasses.push_back(std::move(chain));
+      }
+    }
+  }
+  return bypasses;
+}
+
 }  // namespace sycamoreford
--- a/src/relay/chain_selector.cc
+++ b/src/relay/chain_selector.cc
@@ -27,23 +27,43 @@
 
 }  // namespace
 
+std::optional<double> ChainSelector::ReportedTokens(const std::string& first,
+                                                    TimePoint now) const {
+  const auto report = load_reports_.find(first);
+  if (report == load_reports_.end() ||
+      now - report->second.received_at >= kLoadReportTtl) {
+    return std::nullopt;
+  }
+  const double requests = static_cast<double>(report->second.requests) +
+                          static_cast<double>(report->second.own_change);
+  return std::max(0.0, requests) * mean_tokens_;
+}
+
+double ChainSelector::OwnTokens(const std::string& endpoint) const {
+  const auto found = own_tokens_.find(endpoint);
+  return found == own_tokens_.end() ? 0 : found->second;
+}
+
 double ChainSelector::EstimateTokensInFlight(const ServingChain& chain,
                                              std::uint32_t daemons,
                                              TimePoint now) const {
-  const auto report = load_reports_.find(chain.stages.front().endpoint.value());
-  if (report != load_reports_.end() &&
-      now - report->second.received_at < kLoadReportTtl) {
-    const double requests = static_cast<double>(report->second.requests) +
-                            static_cast<double>(report->second.own_change);
-    return std::max(0.0, requests) * mean_tokens_;
+  const double all = std::max(1U, daemons);
+  const auto reported = ReportedTokens(chain.first_endpoint(), now);
+  if (!reported) {
+    double max_tokens = 0;
+    for (const ChainStage& stage : chain.stages) {
+      max_tokens = std::max(max_tokens, OwnTokens(stage.endpoint.value()));
+    }
+    return max_tokens * all;
   }
-  double max_tokens = 0;
-  for (const ChainStage& stage : chain.stages) {
-    const auto found = own_tokens_.find(stage.endpoint.value());
-    max_tokens =
-        std::max(max_tokens, found == own_tokens_.end() ? 0 : found->second);
+  double tokens = *reported;
+  for (const ServingChain& other : chains_) {
+    const std::string& first = other.first_endpoint();
+    if (first != chain.first_endpoint() && other.Overlaps(chain)) {
+      tokens += ReportedTokens(first, now).value_or(OwnTokens(first) * all);
+    }
   }
-  return max_tokens * std::max(1U, daemons);
+  return tokens;
 }
 
 const ServingChain* ChainSelector::Pick(
@@ -56,7 +76,7 @@
   const ServingChain* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const ServingChain& chain : chains_) {
-    const std::string& first = chain.stages.front().endpoint.value();
+    const std::string& first = chain.first_endpoint();
     const bool was_tried = tried.contains(first);
     if ((only_tried && !was_tried) || excluded.contains(first)) {
       continue;
--- a/src/relay/endpoint_limits.cc
+++ b/src/relay/endpoint_limits.cc
@@ -38,6 +38,7 @@
   if (!per_second) {
     const bool ends = entry.is_in_force && evidence_at > entry.stated_at;
     if (ends) {
+      ++version_;
       entry.is_in_force = false;
       entry.ended_at = evidence_at;
     }
@@ -52,6 +53,7 @@
   const bool has_changed =
       !entry.is_in_force || before != entry.limit.per_second();
   entry.is_in_force = true;
+  version_ += has_changed ? 1 : 0;
   return has_changed;
 }
 
@@ -130,6 +132,16 @@
              : std::optional(found->second.limit.per_second());
 }
 
+std::set<std::string> EndpointLimits::InForce() const {
+  std::set<std::string> endpoints;
+  for (const auto& [endpoint, entry] : entries_) {
+    if (entry.is_in_force) {
+      endpoints.insert(endpoint);
+    }
+  }
+  return endpoints;
+}
+
 std::size_t EndpointLimits::count() const {
   return static_cast<std::size_t>(
       std::count_if(entries_.begin(), entries_.end(),
@@ -178,12 +190,13 @@
 }
 
 void EndpointLimits::Expire(TimePoint now) {
-  std::erase_if(entries_, [&](const auto& it) {
+  const std::size_t erased = std::erase_if(entries_, [&](const auto& it) {
     const Entry& entry = it.second;
     return entry.is_in_force
                ? now - std::max(entry.stated_at, entry.used_at) > kTtl
                : now - entry.ended_at > kEndRepeatTime * interval_factor_;
   });
+  version_ += erased;
 }
 
 }  // namespace sycamoreford
--- a/tests/chain_builder_test.cc
+++ b/tests/chain_builder_test.cc
@@ -115,5 +115,47 @@
       }));
 }
 
+TEST_CASE("chains past endpoints to which only a few requests may be sent") {
+  const std::vector<Accelerator> accelerators = {
+      SampleAccelerator("1", "large", {0, 30}),
+      SampleAccelerator("2", "medium", {0, 20}),
+      SampleAccelerator("3", "small", {20, 30}),
+      SampleAccelerator("4", "large", {30, 80})};
+  const auto chains = BuildChains(SampleEngine(), accelerators);
+  REQUIRE(chains.size() == 1);
+  REQUIRE(chains.front().first_endpoint() == "1");
+
+  SECTION("share the other stages") {
+    const auto bypasses =
+        BuildBypassChains(SampleEngine(), accelerators, chains, {"1", "9"});
+    REQUIRE(bypasses.size() == 1);
+    CHECK(AreValidChains(bypasses, accelerators));
+    CHECK(bypasses.front().first_endpoint() == "2");
+    CHECK_FALSE(bypasses.front().Uses("1"));
+    CHECK(bypasses.front().Overlaps(chains.front()));
+  }
+  SECTION("avoid a limited endpoint that they would begin at") {
+    auto more = accelerators;
+    more.push_back(SampleAccelerator("5", "small", {0, 10}));
+    more.push_back(SampleAccelerator("6", "small", {10, 20}));
+    const auto bypasses =
+        BuildBypassChains(SampleEngine(), more, chains, {"1", "2"});
+    REQUIRE(bypasses.size() == 2);
+    CHECK(bypasses.back().first_endpoint() == "5");
+  }
+  SECTION("are not built around later stages") {
+    CHECK(
+        BuildBypassChains(SampleEngine(), accelerators, chains, {"4"}).empty());
+  }
+  SECTION("do not exist if no other endpoint holds the first layers") {
+    CHECK(BuildBypassChains(SampleEngine(), accelerators, chains, {"1", "2"})
+              .size() == 1);
+    CHECK(BuildBypassChains(SampleEngine(),
+                            {accelerators.front(), accelerators.back()}, chains,
+                            {"1"})
+              .empty());
+  }
+}
+
 }  // namespace
 }  // namespace sycamoreford
--- a/tests/relay_decisions_test.cc
+++ b/tests/relay_decisions_test.cc
@@ -205,6 +205,30 @@
     REQUIRE(selector.Pick(900, 1, {"n"}, false, kStart) != nullptr);
   }
 
+  SECTION("chains that share a stage share its memory") {
+    const auto with_stage = [](const std::string& first, const char* shared) {
+      ServingChain chain = MakeChain(first, "north", 10'000);
+      ChainStage stage = chain.stages.front();
+      stage.endpoint = EndpointId(shared);
+      chain.stages.push_back(stage);
+      return chain;
+    };
+    const Chain other = with_stage("a", "x").stages;
+    selector.SetChains({with_stage("a", "x"), with_stage("b", "x")});
+    selector.OnSent(other, 900);
+    selector.OnReportedLoad("a", {.running = 9}, kStart);
+    selector.OnReportedLoad("b", {.running = 1}, kStart);
+    CHECK(selector.Pick(900, 1, {}, false, kStart) == nullptr);
+    selector.SetChains({with_stage("a", "x"), with_stage("b", "y")});
+    CHECK(selector.Pick(900, 1, {}, false, kStart)->first_endpoint() == "b");
+  }
+
+  SECTION("a chain whose first endpoint takes nothing is passed over") {
+    CHECK(selector.Pick(900, 1, {}, false, kStart, {"n"})->first_endpoint() ==
+          "s");
+    CHECK(selector.Pick(900, 1, {}, false, kStart, {"n", "s"}) == nullptr);
+  }
+
   SECTION("a request that fits nowhere is rejected") {
     const Chain north = MakeChain("n", "north", 0).stages;
     const Chain south = MakeChain("s", "south", 0).stages;
