--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -10,9 +10,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "endpoint_client.h"
 #include "fakes/fake_table.h"
 #include "fakes/faulty_table.h"
 #include "http_relay_codec.h"
+#include "sycamoreford/adapters/endpoint_inspector.h"
 #include "sycamoreford/adapters/fleet_follower.h"
 #include "sycamoreford/adapters/http_server.h"
 #include "sycamoreford/adapters/pause.h"
@@ -98,8 +100,16 @@
                           boost::asio::detached);
   }
 
+  /// Runs the inspector of stalled chains and suspected endpoints.
+  void WatchEndpoints(boost::asio::io_context& context) {
+    boost::asio::co_spawn(context, inspector.Watch(), boost::asio::detached);
+  }
+
   SteadyClock clock;
   RelayState state;
+  platform::EndpointClient control;
+  EndpointInspector<platform::EndpointClient, SteadyClock> inspector{
+      state, control, clock};
   SilentStore store;
   FleetFollower<SilentStore, SteadyClock> follower{state, store, clock};
   fakes::FaultyTable table;
