Separate an attempt at a stream from the chain that it is sent to

Moves what any destination of a stream has in common from ChainAttempt to a base class, so that another kind of destination can follow. No change of behaviour.

--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -97,6 +97,7 @@
   }
 
  private:
+  using Attempt = StreamAttempt<Codec, TheClock>;
   using ToChain = ChainAttempt<Codec, TheClock>;
   using Processor::clock_;
   using Processor::Elapsed;
@@ -160,7 +161,7 @@
   ///
   /// \param position position in the stream after which the chain goes on.
   /// \returns null if the request may not be sent or no chain can take it.
-  std::shared_ptr<ToChain> OpenChainAttempt(
+  std::shared_ptr<Attempt> OpenChainAttempt(
       const boost::asio::any_io_executor& executor,
       const HttpRequest& request,
       RequestContext& context,
@@ -182,7 +183,7 @@
     if (chain == nullptr) {
       const ServingChain* limited = pick({});
       if (limited != nullptr) {
-        OnLimited(context, limited->stages.front().endpoint.value());
+        OnLimited(context, limited->first_endpoint());
       } else {
         context.last_denial = "no_chain";
       }
@@ -198,16 +199,18 @@
         Codec::Encode(request, OptionsFor(context, stages, position));
     return std::make_shared<ToChain>(
         state_, clock_, executor, *context.service,
-        ChainAttemptOptions{.request_id = context.request.id,
-                            .request = std::move(encoded),
-                            .stages = stages,
-                            .tokens = tokens,
-                            .deadline = context.deadline,
-                            .connect_timeout = relay::kConnectTimeout,
-                            .max_silence = relay::kMaxSoundSilence,
-                            .streams = context.route->streams,
-                            .position = std::move(position),
-                            .shared_parts = context.request.shared_parts});
+        ChainAttemptOptions{
+            .stream = {.request_id = context.request.id,
+                       .address = stages.front().address,
+                       .request = std::move(encoded),
+                       .deadline = context.deadline,
+                       .connect_timeout = relay::kConnectTimeout,
+                       .streams = context.route->streams,
+                       .position = std::move(position)},
+            .stages = stages,
+            .tokens = tokens,
+            .max_silence = relay::kMaxSoundSilence,
+            .shared_parts = context.request.shared_parts});
   }
 
   /// Tries other chains for a request whose attempt is suspected to be silent.
@@ -220,7 +223,7 @@
   boost::asio::awaitable<AttemptStep> TryOthers(
       HttpExchange& exchange,
       RequestContext& context,
-      std::shared_ptr<ToChain>& attempt) {
+      std::shared_ptr<Attempt>& attempt) {
     const auto executor = co_await boost::asio::this_coro::executor;
     for (;;) {
       if (!MayTryOthers(context, *attempt)) {
@@ -250,7 +253,7 @@
       if (IsGoingOn(*attempt, step)) {
         attempt->ResumeLoad();
         if (other->was_sent()) {
-          context.tried_endpoints.insert(other->first_endpoint());
+          context.tried_endpoints.insert(other->destination());
         } else {
           --context.sends;
         }
@@ -270,8 +273,7 @@
         other->ClearInterrupt();
       } else if (IsGoingOn(*other, *task.result())) {
         LogSilence(context, *attempt, "replaced");
-        RecordFailedSend(context, AttemptStep::kLost,
-                         attempt->first_endpoint());
+        RecordFailedSend(context, AttemptStep::kLost, attempt->destination());
       } else {
         OnAttemptFailed(context, *other, *task.result());
         continue;
@@ -283,7 +285,7 @@
   }
 
   /// Whether an attempt is silent and its request may be sent elsewhere.
-  bool MayTryOthers(RequestContext& context, const ToChain& attempt) const {
+  bool MayTryOthers(RequestContext& context, const Attempt& attempt) const {
     if (attempt.HasReceivedSince(clock_.Now() - relay::kMinSilence)) {
       return false;
     }
@@ -296,7 +298,7 @@
   /// Abandons an attempt on destruction, unless it is kept.
   class AbandonGuard {
    public:
-    explicit AbandonGuard(ToChain& attempt) : attempt_(&attempt) {}
+    explicit AbandonGuard(Attempt& attempt) : attempt_(&attempt) {}
     AbandonGuard(const AbandonGuard&) = delete;
     AbandonGuard& operator=(const AbandonGuard&) = delete;
     ~AbandonGuard() {
@@ -307,13 +309,13 @@
     void Keep() noexcept { attempt_ = nullptr; }
 
    private:
-    ToChain* attempt_;
+    Attempt* attempt_;
   };
 
   /// The first step of an attempt that decides whether it goes on;
   /// `kInterrupted` if it is interrupted when `is_wanted` is set.
   static boost::asio::awaitable<AttemptStep> FirstProgress(
-      std::shared_ptr<ToChain> attempt,
+      std::shared_ptr<Attempt> attempt,
       std::shared_ptr<bool> is_wanted) {
     AttemptStep step = AttemptStep::kInterrupted;
     while ((step == AttemptStep::kInterrupted && !*is_wanted) ||
@@ -324,7 +326,7 @@
   }
 
   /// Whether a step brings the caller's response forward.
-  [[nodiscard]] static bool IsGoingOn(const ToChain& attempt,
+  [[nodiscard]] static bool IsGoingOn(const Attempt& attempt,
                                       AttemptStep step) {
     switch (step) {
       case AttemptStep::kStreamBegun:
@@ -345,12 +347,12 @@
   /// Starts to send a request whose attempt is silent to another chain.
   ///
   /// \returns null if no chain can be tried.
-  std::shared_ptr<ToChain> OpenSuccessor(
+  std::shared_ptr<Attempt> OpenSuccessor(
       const boost::asio::any_io_executor& executor,
       const HttpRequest& request,
       RequestContext& context,
-      ToChain& attempt) {
-    context.tried_endpoints.insert(attempt.first_endpoint());
+      Attempt& attempt) {
+    context.tried_endpoints.insert(attempt.destination());
     // One of the two ends soon; only the successor counts as load until then.
     attempt.SuspendLoad();
     auto successor =
@@ -364,7 +366,7 @@
   /// Forwards the events of the last step.
   boost::asio::awaitable<void> DeliverEvents(HttpExchange& exchange,
                                              const RequestContext& context,
-                                             ToChain& attempt,
+                                             Attempt& attempt,
                                              StreamProgress& progress) {
     const TimePoint now = clock_.Now();
     if (progress.last_event != TimePoint{}) {
@@ -380,7 +382,7 @@
 
   /// Sends the head of the response unless one was sent before.
   boost::asio::awaitable<void> BeginStream(HttpExchange& exchange,
-                                           ToChain& attempt,
+                                           Attempt& attempt,
                                            StreamProgress& progress) {
     if (!progress.has_begun) {
       progress.has_begun = true;
@@ -391,16 +393,16 @@
 
   boost::asio::awaitable<void> FinishStream(HttpExchange& exchange,
                                             const RequestContext& context,
-                                            ToChain& attempt,
+                                            Attempt& attempt,
                                             StreamProgress& progress) {
-    state_.directory().OnSuccess(attempt.first_endpoint());
+    state_.directory().OnSuccess(attempt.destination());
     co_await BeginStream(exchange, attempt, progress);
     co_await exchange.EndStream();
     RecordOutcome(context, "answered");
     state_.metrics().OnLongestPause(context.service->name,
                                     progress.longest_pause);
     progress.position = attempt.position();
-    LogAnswered(context, attempt.first_endpoint(), progress);
+    LogAnswered(context, attempt.destination(), progress);
   }
 
   /// Forwards a response that is not a stream of events.
@@ -408,7 +410,7 @@
   /// \returns whether the caller has received it.
   boost::asio::awaitable<bool> ForwardResponse(HttpExchange& exchange,
                                                const RequestContext& context,
-                                               ToChain& attempt,
+                                               Attempt& attempt,
                                                const StreamProgress& progress) {
     const bool is_failure = attempt.head().IsServerError();
     auto body = co_await attempt.call().ReadAll(relay::kMaxResponseBytes,
@@ -429,51 +431,33 @@
 
   /// Called when an attempt has ended without a usable response.
   void OnAttemptFailed(RequestContext& context,
-                       const ToChain& attempt,
+                       Attempt& attempt,
                        AttemptStep step) {
-    RecordFailedSend(context, step, attempt.first_endpoint());
+    RecordFailedSend(context, step, attempt.destination());
     if (step == AttemptStep::kNotRun) {
-      OnChainRefusal(context, attempt.stages(), attempt.head());
-    } else if (step == AttemptStep::kNotSent) {
-      state_.OnEndpointSuspected(attempt.first_endpoint(), "no_connection",
-                                 clock_.Now());
+      const KnownEndpoint* faulty_stage =
+          state_.directory().FindByAddress(attempt.head().faulty_stage_address);
+      LogNotRun(context,
+                faulty_stage == nullptr ? attempt.destination()
+                                        : faulty_stage->record.id,
+                attempt.head());
     } else if (step == AttemptStep::kResponse) {
       LogResponseLost(
-          context, attempt.first_endpoint(),
+          context, attempt.destination(),
           {.code = Errc::kEndpointFailed,
            .where = "status " + std::to_string(attempt.head().status)},
           attempt.has_begun(), attempt.position().event_count());
-    } else {
-      LogResponseLost(context, attempt.first_endpoint(), attempt.failure(),
+    } else if (step != AttemptStep::kNotSent) {
+      LogResponseLost(context, attempt.destination(), attempt.failure(),
                       attempt.has_begun(), attempt.position().event_count());
-      if (attempt.failure().code == Errc::kConnectionLost) {
-        attempt.prompt_watch().OnConnectionLost(clock_.Now());
-      }
-    }
-  }
-
-  /// Called when a chain refused a request. If the response names the faulty
-  /// stage, that endpoint is not used for a while.
-  void OnChainRefusal(const RequestContext& context,
-                      const Chain& stages,
-                      const ResponseHead& head) {
-    const KnownEndpoint* faulty_stage =
-        head.faulty_stage_address.empty()
-            ? nullptr
-            : state_.directory().FindByAddress(head.faulty_stage_address);
-    const std::string id = faulty_stage == nullptr
-                               ? stages.front().endpoint.value()
-                               : faulty_stage->record.id;
-    LogNotRun(context, id, head);
-    if (faulty_stage != nullptr) {
-      state_.OnEndpointFault(id, clock_.Now());
     }
+    attempt.OnFailed(step);
   }
 
   /// Logs what became of a request whose chain is suspected to be silent. A
   /// repeated reason not to try another chain is not logged again.
   void LogSilence(RequestContext& context,
-                  const ToChain& attempt,
+                  const Attempt& attempt,
                   std::string_view outcome) const {
     if (context.silence_outcome == outcome) {
       return;
@@ -481,7 +465,7 @@
     context.silence_outcome = outcome;
     LogEvent(Severity::kInfo, "attempt_silent")
         .With("request", context.request.id)
-        .With("endpoint", attempt.first_endpoint())
+        .With("endpoint", attempt.destination())
         .With("outcome", outcome)
         .With("events", attempt.position().event_count())
         .With("sends", context.sends)
