Serve callers of daemons without endpoints through other daemons

A daemon used only its own links.

A daemon now notices within a second that it can connect to no endpoint, and sends requests, and streams in flight, through a daemon that tells that it has endpoints. The request keeps the caller's headers and its end; refusals on the way state that nothing has run, and a way that is lost counts as run. The other daemon decides by a configuration that is not older, counts sends against the retry budget, and never forwards again. An isolated daemon does not tell others of endpoints that it cannot reach.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -85,6 +85,7 @@
 
   void OnFailed(AttemptStep step) override {
     if (step == AttemptStep::kNotSent) {
+      state_.OnUnreachable(destination(), clock().Now());
       state_.OnEndpointSuspected(destination(), "no_connection", clock().Now());
     } else if (step == AttemptStep::kNotRun) {
       OnRefusal();
@@ -105,6 +106,7 @@
   using Base::sent_at;
   using Base::Silence;
 
+  void OnSent() override { state_.OnConnected(sent_at()); }
   void OnHeadDecoded() override {
     if (head().load) {
       selector_.OnReportedLoad(destination(), *head().load, clock().Now());
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -15,6 +15,7 @@
 
 #include "sycamoreford/adapters/background_task.h"
 #include "sycamoreford/adapters/chain_attempt.h"
+#include "sycamoreford/adapters/peer_attempt.h"
 #include "sycamoreford/adapters/request_processor.h"
 #include "sycamoreford/adapters/wake_signal.h"
 #include "sycamoreford/relay/event_splitter.h"
@@ -40,8 +41,8 @@
                                      RequestContext& context) {
     const auto executor = co_await boost::asio::this_coro::executor;
     StreamProgress progress;
-    auto attempt = OpenChainAttempt(executor, exchange.request(), context,
-                                    progress.position);
+    auto attempt =
+        OpenAttempt(executor, exchange.request(), context, progress.position);
     while (attempt) {
       AttemptStep step = co_await attempt->Next();
       co_await ThrowIfCallerGone();
@@ -78,8 +79,8 @@
       // The failed attempt must not count as load when the next chain is
       // selected.
       attempt.reset();
-      attempt = OpenChainAttempt(executor, exchange.request(), context,
-                                 progress.position);
+      attempt =
+          OpenAttempt(executor, exchange.request(), context, progress.position);
     }
     if (!progress.has_begun) {
       co_await Refuse(exchange, context, FinalRefusal(context));
@@ -99,13 +100,17 @@
  private:
   using Attempt = StreamAttempt<Codec, TheClock>;
   using ToChain = ChainAttempt<Codec, TheClock>;
+  using Processor::AcquirePeer;
   using Processor::clock_;
   using Processor::Elapsed;
+  using Processor::EncodeForPeer;
   using Processor::FinalRefusal;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
   using Processor::MayBeSent;
+  using Processor::MayConnect;
   using Processor::OnLimited;
+  using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
   using Processor::Refuse;
@@ -157,6 +162,67 @@
     return options;
   }
 
+  /// Starts to send the request to a chain, or through another daemon if this
+  /// one has no chain.
+  ///
+  /// \param position position in the stream after which it goes on.
+  /// \returns null if the request may not be sent or nothing can take it.
+  std::shared_ptr<Attempt> OpenAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      const EventSplitter& position) {
+    if (!MayBeSent(context)) {
+      return nullptr;
+    }
+    std::shared_ptr<Attempt> attempt;
+    const bool is_isolated = state_.is_isolated();
+    if (!is_isolated) {
+      attempt = OpenChainAttempt(executor, request, context, position);
+    }
+    if (!attempt && (is_isolated || LacksChains(context))) {
+      attempt = OpenPeerAttempt(executor, request, context, position);
+    }
+    if (!attempt && is_isolated) {
+      attempt = OpenChainAttempt(executor, request, context, position);
+    }
+    return attempt;
+  }
+
+  /// Whether this daemon has no chain that it can connect to.
+  [[nodiscard]] bool LacksChains(const RequestContext& context) const {
+    return context.connect_failures >= relay::kMaxConnectFailures ||
+           !state_.HasEndpointsFor(*context.service, clock_.Now());
+  }
+
+  /// Starts to send the request through another daemon.
+  ///
+  /// \returns null if none can take it.
+  std::shared_ptr<Attempt> OpenPeerAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      EventSplitter position) {
+    auto peer = AcquirePeer(context);
+    if (!peer) {
+      return nullptr;
+    }
+    position.Restart();
+    HttpRequest encoded = EncodeForPeer(
+        request, context,
+        position.event_count() > 0 ? position.last_id() : std::string());
+    return std::make_shared<PeerAttempt<Codec, TheClock>>(
+        state_, clock_, executor,
+        StreamAttemptOptions{.request_id = context.request.id,
+                             .address = std::move(*peer),
+                             .request = std::move(encoded),
+                             .deadline = context.deadline,
+                             .connect_timeout = relay::kConnectTimeout,
+                             .streams = context.route->streams,
+                             .position = std::move(position)},
+        relay::kMaxPeerSilence);
+  }
+
   /// Starts to send the request to a chain.
   ///
   /// \param position position in the stream after which the chain goes on.
@@ -166,7 +232,7 @@
       const HttpRequest& request,
       RequestContext& context,
       EventSplitter position) {
-    if (!MayBeSent(context)) {
+    if (!MayConnect(context)) {
       return nullptr;
     }
     const double tokens = ExpectedTokens(context);
@@ -356,7 +422,7 @@
     // One of the two ends soon; only the successor counts as load until then.
     attempt.SuspendLoad();
     auto successor =
-        OpenChainAttempt(executor, request, context, attempt.position());
+        OpenAttempt(executor, request, context, attempt.position());
     if (!successor) {
       attempt.ResumeLoad();
     }
@@ -429,11 +495,21 @@
     co_return true;
   }
 
+  void RecordFailure(RequestContext& context,
+                     AttemptStep step,
+                     const Attempt& attempt) {
+    if (attempt.is_forwarded()) {
+      RecordFailedForward(context, step, attempt.destination());
+    } else {
+      RecordFailedSend(context, step, attempt.destination());
+    }
+  }
+
   /// Called when an attempt has ended without a usable response.
   void OnAttemptFailed(RequestContext& context,
                        Attempt& attempt,
                        AttemptStep step) {
-    RecordFailedSend(context, step, attempt.destination());
+    RecordFailure(context, step, attempt);
     if (step == AttemptStep::kNotRun) {
       const KnownEndpoint* faulty_stage =
           state_.directory().FindByAddress(attempt.head().faulty_stage_address);
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -19,7 +19,10 @@
 /// Parameters of an `EndpointAttempt`.
 struct EndpointAttemptOptions {
   std::string request_id;
+  /// Id of the endpoint, or the address of another daemon.
   std::string endpoint;
+  /// Whether the request is sent through another daemon.
+  bool is_forwarded = false;
   std::string address;
   /// The request, encoded for this endpoint.
   HttpRequest request;
@@ -28,9 +31,10 @@
   std::size_t max_response_bytes = 0;
 };
 
-/// One send of a request to an endpoint of a plain service, with the whole
-/// response. Counts as in flight at the endpoint until its result is reported
-/// to the selector, or until it is destroyed or abandoned.
+/// One send of a request to an endpoint of a plain service, or through another
+/// daemon, with the whole response. Counts as in flight at the endpoint until
+/// its result is reported to the selector, or until it is destroyed or
+/// abandoned.
 ///
 /// Thread safety: none; runs on the thread of the selector.
 template <RelayCodec Codec, Clock TheClock>
@@ -115,8 +119,13 @@
   [[nodiscard]] const std::string& endpoint() const noexcept {
     return options_.endpoint;
   }
+  [[nodiscard]] bool is_forwarded() const noexcept {
+    return options_.is_forwarded;
+  }
   [[nodiscard]] TimePoint started_at() const noexcept { return started_at_; }
   [[nodiscard]] bool is_overdue() const noexcept { return is_overdue_; }
+  /// Whether the connection was established.
+  [[nodiscard]] bool was_sent() const noexcept { return call_.was_sent(); }
   /// Whether the head of the response has arrived.
   [[nodiscard]] bool has_begun() const noexcept { return has_begun_; }
   /// Precondition: `has_begun()`.
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -42,7 +42,7 @@
     std::optional<HttpResponse> error_response;
     for (;;) {
       if (AreAllOverdue(pending)) {
-        OpenEndpointAttempt(executor, exchange.request(), context, pending);
+        OpenAttempt(executor, exchange.request(), context, pending);
       }
       if (pending.attempts.empty()) {
         break;
@@ -66,12 +66,16 @@
 
  private:
   using ToEndpoint = EndpointAttempt<Codec, TheClock>;
+  using Processor::AcquirePeer;
   using Processor::clock_;
+  using Processor::EncodeForPeer;
   using Processor::FinalRefusal;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
   using Processor::MayBeSent;
+  using Processor::MayConnect;
   using Processor::OnLimited;
+  using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
   using Processor::Refuse;
@@ -144,15 +148,51 @@
     }
   }
 
-  /// Sends the request to a further endpoint if that is possible.
-  void OpenEndpointAttempt(const boost::asio::any_io_executor& executor,
-                           const HttpRequest& request,
-                           RequestContext& context,
-                           PendingAttempts& pending) {
+  /// Sends the request to a further endpoint if that is possible, or through
+  /// another daemon if this one has no endpoint.
+  void OpenAttempt(const boost::asio::any_io_executor& executor,
+                   const HttpRequest& request,
+                   RequestContext& context,
+                   PendingAttempts& pending) {
     if (!MayBeSent(context) ||
         context.tried_endpoints.size() >= context.route->max_attempts) {
       return;
     }
+    const bool is_isolated = state_.is_isolated();
+    auto options =
+        is_isolated ? std::nullopt : ChooseEndpoint(request, context);
+    if (!options && (is_isolated || LacksEndpoints(context))) {
+      options = ChoosePeer(request, context);
+    }
+    if (!options && is_isolated) {
+      options = ChooseEndpoint(request, context);
+    }
+    if (!options) {
+      return;
+    }
+    options->request_id = context.request.id;
+    options->deadline = context.deadline;
+    options->connect_timeout = relay::kConnectTimeout;
+    options->max_response_bytes = relay::kMaxResponseBytes;
+    context.tried_endpoints.insert(options->endpoint);
+    auto attempt = std::make_shared<ToEndpoint>(
+        state_.service_selector(), clock_, executor, std::move(*options));
+    auto task = std::make_unique<BackgroundTask<AttemptStep>>(
+        executor, RunAttempt(attempt), AttemptStep::kLost,
+        [&pending] { pending.ended.Notify(); });
+    pending.attempts.push_back({std::move(attempt), std::move(task)});
+  }
+
+  /// Whether this daemon has no endpoint that it can connect to.
+  [[nodiscard]] bool LacksEndpoints(const RequestContext& context) const {
+    return context.connect_failures >= relay::kMaxConnectFailures ||
+           !state_.HasEndpointsFor(*context.service, clock_.Now());
+  }
+
+  /// Chooses a further endpoint and counts the send.
+  std::optional<EndpointAttemptOptions> ChooseEndpoint(
+      const HttpRequest& request,
+      RequestContext& context) {
     const TimePoint now = clock_.Now();
     const auto pick = [&](const std::set<std::string>& excluded) {
       return state_.service_selector().Pick(state_.directory(),
@@ -162,37 +202,41 @@
     auto excluded = state_.limits().Exhausted(now);
     excluded.insert(context.tried_endpoints.begin(),
                     context.tried_endpoints.end());
-    const KnownEndpoint* endpoint = pick(excluded);
+    const KnownEndpoint* endpoint =
+        MayConnect(context) ? pick(excluded) : nullptr;
     if (endpoint == nullptr) {
       const KnownEndpoint* limited = pick(context.tried_endpoints);
-      if (limited != nullptr) {
+      if (limited != nullptr && context.last_denial.empty()) {
         OnLimited(context, limited->record.id);
       }
-      return;
+      return std::nullopt;
     }
     if (!TryAcquireSend(context)) {
-      return;
+      return std::nullopt;
     }
     const EndpointRecord& record = endpoint->record;
     state_.OnSent(record.id, now);
     ForwardOptions forward;
     forward.endpoint_id = record.id;
-    forward.time_left = context.TimeLeft(clock_.Now());
+    forward.time_left = context.TimeLeft(now);
     forward.customer = context.customer;
-    auto attempt = std::make_shared<ToEndpoint>(
-        state_.service_selector(), clock_, executor,
-        EndpointAttemptOptions{.request_id = context.request.id,
-                               .endpoint = record.id,
-                               .address = record.address,
-                               .request = Codec::Encode(request, forward),
-                               .deadline = context.deadline,
-                               .connect_timeout = relay::kConnectTimeout,
-                               .max_response_bytes = relay::kMaxResponseBytes});
-    context.tried_endpoints.insert(record.id);
-    auto task = std::make_unique<BackgroundTask<AttemptStep>>(
-        executor, RunAttempt(attempt), AttemptStep::kLost,
-        [&pending] { pending.ended.Notify(); });
-    pending.attempts.push_back({std::move(attempt), std::move(task)});
+    return EndpointAttemptOptions{.endpoint = record.id,
+                                  .address = record.address,
+                                  .request = Codec::Encode(request, forward)};
+  }
+
+  /// Chooses another daemon and counts the send.
+  std::optional<EndpointAttemptOptions> ChoosePeer(const HttpRequest& request,
+                                                   RequestContext& context) {
+    auto peer = AcquirePeer(context);
+    if (!peer) {
+      return std::nullopt;
+    }
+    return EndpointAttemptOptions{
+        .endpoint = *peer,
+        .is_forwarded = true,
+        .address = *peer,
+        .request = EncodeForPeer(request, context, "")};
   }
 
   static boost::asio::awaitable<AttemptStep> RunAttempt(
@@ -218,7 +262,7 @@
       }
       const auto attempt = std::move(it->attempt);
       it = attempts.erase(it);
-      ReportLimit(*attempt);
+      ReportContact(*attempt);
       if (*step != AttemptStep::kResponse) {
         OnAttemptFailed(context, *attempt, *step);
         continue;
@@ -239,8 +283,15 @@
     return std::nullopt;
   }
 
-  /// Reports the limit that an endpoint stated with its response, if any.
-  void ReportLimit(const ToEndpoint& attempt) const {
+  /// Reports that an endpoint was reached, and the limit that it stated with
+  /// its response, if any.
+  void ReportContact(const ToEndpoint& attempt) const {
+    if (attempt.is_forwarded()) {
+      return;
+    }
+    if (attempt.was_sent()) {
+      state_.OnConnected(attempt.started_at());
+    }
     if (attempt.has_begun() &&
         (attempt.head().IsTrusted() || attempt.head().is_not_run)) {
       state_.OnStatedLimit(attempt.endpoint(), attempt.head().request_limit,
@@ -255,12 +306,32 @@
             PromptGuard::RunOf(state_.directory(), attempt.endpoint())};
   }
 
+  /// Called when a request was sent through another daemon in vain.
+  void OnForwardFailed(RequestContext& context,
+                       const ToEndpoint& attempt,
+                       AttemptStep step) {
+    context.tried_endpoints.erase(attempt.endpoint());
+    RecordFailedForward(context, step, attempt.endpoint());
+    state_.peers().OnRefused(attempt.endpoint(), clock_.Now());
+    if (step == AttemptStep::kNotRun) {
+      LogNotRun(context, attempt.endpoint(), attempt.head());
+    } else if (step != AttemptStep::kNotSent) {
+      LogResponseLost(context, attempt.endpoint(), attempt.failure(),
+                      attempt.has_begun());
+    }
+  }
+
   void OnAttemptFailed(RequestContext& context,
                        const ToEndpoint& attempt,
                        AttemptStep step) {
+    if (attempt.is_forwarded()) {
+      OnForwardFailed(context, attempt, step);
+      return;
+    }
     RecordFailedSend(context, step, attempt.endpoint());
     if (step == AttemptStep::kNotSent) {
       context.tried_endpoints.erase(attempt.endpoint());
+      state_.OnUnreachable(attempt.endpoint(), clock_.Now());
       state_.OnEndpointSuspected(attempt.endpoint(), "no_connection",
                                  clock_.Now());
     } else if (step == AttemptStep::kNotRun) {
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <set>
 #include <string>
@@ -9,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "sycamoreford/adapters/http_client.h"
 #include "sycamoreford/adapters/pause.h"
 #include "sycamoreford/adapters/relay_state.h"
 #include "sycamoreford/core/clock.h"
@@ -18,6 +20,7 @@
 
 /// Inspects the stages of stalled chains, slow endpoints and endpoints whose
 /// suspicion is about to end, and marks those that do not respond as suspected.
+/// While the daemon is isolated, tries whether endpoints can be reached again.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <EndpointControl Control, Clock TheClock>
@@ -38,6 +41,10 @@
       co_await Pause(kPollInterval);
       const TimePoint now = clock_.Now();
       state_.InterruptSilentAttempts(now);
+      if (state_.is_isolated() && now >= next_probe_) {
+        next_probe_ = now + kProbeInterval;
+        boost::asio::co_spawn(executor, ProbeNext(), boost::asio::detached);
+      }
       for (const std::string& first :
            state_.stall_detector().ChainsToInspect(now)) {
         // All stages are asked: the first endpoint notices a stall only after a
@@ -63,6 +70,9 @@
   }
 
  private:
+  /// Interval between two connections of an isolated daemon, and maximum time
+  /// to establish them.
+  static constexpr std::chrono::milliseconds kProbeInterval{200};
   /// Interval between two checks of all chains and endpoints.
   static constexpr std::chrono::milliseconds kPollInterval{40};
   /// Time before the end of a suspicion at which the endpoint is inspected.
@@ -73,6 +83,25 @@
   /// Each inspection is a paid call.
   static constexpr std::chrono::milliseconds kSlownessCheckInterval{2'000};
 
+  /// Tries to connect to one endpoint after the other while the daemon is
+  /// isolated.
+  boost::asio::awaitable<void> ProbeNext() {
+    const auto& endpoints = state_.directory().endpoints();
+    auto next = endpoints.upper_bound(last_probed_);
+    if (next == endpoints.end()) {
+      next = endpoints.begin();
+    }
+    if (next == endpoints.end()) {
+      co_return;
+    }
+    last_probed_ = next->first;
+    const std::string address = next->second.record.address;
+    const TimePoint begun_at = clock_.Now();
+    if (co_await CanConnect(address, kProbeInterval)) {
+      state_.OnConnected(begun_at);
+    }
+  }
+
   /// Fetches and evaluates the report of an endpoint. Does nothing while
   /// another inspection of the endpoint is running, or if its limit does not
   /// allow one.
@@ -91,6 +120,11 @@
     state_.OnSent(id, sent_at);
     const auto report = co_await control_.FetchReport(address);
     pending_inspections_.erase(id);
+    if (report || report.error().code != Errc::kConnectionRefused) {
+      state_.OnConnected(sent_at);
+    } else {
+      state_.OnUnreachable(id, clock_.Now());
+    }
     if (!report) {
       state_.OnEndpointSuspected(id, "no_report", clock_.Now());
       co_return;
@@ -118,6 +152,9 @@
     }
   }
 
+  TimePoint next_probe_{};
+  /// Id of the endpoint that an isolated daemon last tried to connect to.
+  std::string last_probed_;
   /// Time of the next inspection of each slow endpoint, by id.
   std::map<std::string, TimePoint> next_slowness_check_;
   /// Endpoints that are being inspected.
--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -131,4 +131,11 @@
     std::chrono::milliseconds timeout,
     std::size_t max_bytes);
 
+/// Establishes a connection and closes it again.
+///
+/// \returns whether it was established within `timeout`.
+[[nodiscard]] boost::asio::awaitable<bool> CanConnect(
+    const std::string& address,
+    std::chrono::milliseconds timeout);
+
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/http_server.h
+++ b/include/sycamoreford/adapters/http_server.h
@@ -23,6 +23,9 @@
 
   [[nodiscard]] virtual const HttpRequest& request() const noexcept = 0;
 
+  /// IP address of the client; empty if it has disconnected.
+  [[nodiscard]] virtual std::string client_ip() const = 0;
+
   /// Sends a complete response. Precondition: no response was started.
   virtual boost::asio::awaitable<void> Respond(HttpResponse response) = 0;
 
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/endpoint_limits.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
 #include "sycamoreford/relay/prompt_quarantine.h"
@@ -19,7 +20,7 @@
 
 /// A message from one daemon to the others: a report about an endpoint, a
 /// report about a suspected prompt part, reports about the limits of endpoints,
-/// or the sender's retry usage and configuration revision.
+/// or the sender's retry usage, configuration revision and status.
 struct PeerMessage {
   /// Id of the endpoint; empty if the message carries retry usage.
   std::string endpoint;
@@ -33,6 +34,9 @@
   RetryUsage usage;
   /// Revision of the configuration in force at the sender; 0 if it has none.
   std::uint64_t revision = 0;
+  /// Status of the sender for `service`; empty if it takes no requests of other
+  /// daemons.
+  std::optional<PeerStatus> status;
 
   [[nodiscard]] std::string ToText() const;
   /// \returns nothing if the text is not a valid message.
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -72,6 +72,23 @@
     });
   }
 
+  /// Sets the function that returns this daemon's status for a service.
+  ///
+  /// Precondition: this daemon serves requests of other daemons at its address
+  /// for datagrams.
+  void SetStatus(std::function<PeerStatus(const std::string&)> status) {
+    status_ = std::move(status);
+  }
+
+  /// Whether a daemon is known to run on the host with this IP address.
+  [[nodiscard]] bool IsKnownHost(const std::string& ip) const {
+    const auto addresses = roster_.roster().Addresses(clock_.Now());
+    return std::any_of(addresses.begin(), addresses.end(),
+                       [&](const std::string& address) {
+                         return address.substr(0, address.rfind(':')) == ip;
+                       });
+  }
+
   /// Receives messages of other daemons; does not return.
   boost::asio::awaitable<void> Receive() { co_await datagrams_.Run(); }
 
@@ -88,6 +105,9 @@
         message.usage = budget.ReportUsage(now);
         message.revision =
             state_.manifest() ? state_.manifest()->revision() : 0;
+        if (status_) {
+          message.status = status_(service);
+        }
         datagrams_.Send(addresses, message);
       }
       for (const auto& report : state_.prompt_guard().DueReports(now)) {
@@ -221,6 +241,10 @@
     ReplyToUnlisted(from);
     state_.RetryBudgetFor(message.service)
         .OnUsageReport(from, message.usage, clock_.Now());
+    if (message.status) {
+      state_.peers().OnStatus(from, message.service, *message.status,
+                              clock_.Now());
+    }
     if (!follower_.HasRevision(message.revision)) {
       boost::asio::co_spawn(context_, follower_.CatchUp(message.revision),
                             boost::asio::detached);
@@ -260,6 +284,7 @@
   const RosterService<Table, TheClock>& roster_;
   const TheClock& clock_;
   Decoder decode_;
+  std::function<PeerStatus(const std::string&)> status_;
   PeerDatagrams datagrams_;
 };
 
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -51,18 +53,76 @@
       co_return;
     }
     state_.RetryBudgetFor(context.service->name).OnRequest(context.arrived_at);
-    if (context.service->engine) {
-      co_await chains_.Serve(exchange, context);
-    } else {
-      co_await endpoints_.Serve(exchange, context);
+    co_await Serve(exchange, context);
+  }
+
+  /// Processes a request that another daemon has forwarded. That daemon has
+  /// counted it, and it is not forwarded again.
+  ///
+  /// Precondition: the request comes from a known daemon.
+  boost::asio::awaitable<void> HandleFromPeer(HttpExchange& exchange) {
+    RequestContext context;
+    context.arrived_at = clock_.Now();
+    context.is_from_peer = true;
+    const auto forward = Codec::DecodeFromPeer(exchange.request());
+    if (!forward) {
+      co_await Refuse(exchange, context, Refusal::kMalformed);
+      co_return;
+    }
+    context.sends = forward->sends;
+    context.tried_endpoints = forward->tried_endpoints;
+    const auto refusal = AdmitFromPeer(exchange.request(), *forward, context);
+    if (refusal) {
+      co_await Refuse(exchange, context, *refusal);
+      co_return;
     }
+    state_.metrics().OnReceivedFromPeer(context.service->name);
+    ++peer_requests_;
+    const std::shared_ptr<void> decrement_on_exit(
+        nullptr, [this](void*) { --peer_requests_; });
+    co_await Serve(exchange, context);
+  }
+
+  /// Number of requests of other daemons that are processed.
+  [[nodiscard]] std::size_t peer_requests() const noexcept {
+    return peer_requests_;
   }
 
+  /// Refuses further requests of other daemons, since this one is stopping.
+  void RefusePeers() noexcept { refuses_peers_ = true; }
+
  private:
   using Processor::clock_;
   using Processor::Refuse;
   using Processor::state_;
 
+  boost::asio::awaitable<void> Serve(HttpExchange& exchange,
+                                     RequestContext& context) {
+    if (context.service->engine) {
+      co_await chains_.Serve(exchange, context);
+    } else {
+      co_await endpoints_.Serve(exchange, context);
+    }
+  }
+
+  /// As `Admit`; also refuses what this daemon cannot take at present, or would
+  /// decide by an older configuration than the other one.
+  std::optional<Refusal> AdmitFromPeer(const HttpRequest& request,
+                                       const PeerForward& forward,
+                                       RequestContext& context) {
+    if (refuses_peers_) {
+      return Refusal::kStopping;
+    }
+    if (peer_requests_ >= relay::kMaxPeerRequests) {
+      return Refusal::kNoEndpoint;
+    }
+    if (!state_.manifest() ||
+        state_.manifest()->revision() < forward.revision) {
+      return Refusal::kNoConfiguration;
+    }
+    return Admit(request, context);
+  }
+
   /// Decodes the request and finds its route, customer and service.
   ///
   /// \returns the reason if the request is refused.
@@ -128,6 +188,8 @@
     return nullptr;
   }
 
+  std::size_t peer_requests_ = 0;
+  bool refuses_peers_ = false;
   EndpointForwarder<Codec, TheClock> endpoints_;
   ChainForwarder<Codec, TheClock> chains_;
 };
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -14,6 +14,8 @@
 #include "sycamoreford/adapters/prompt_guard.h"
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_directory.h"
+#include "sycamoreford/fleet/isolation_detector.h"
+#include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/chain_selector.h"
 #include "sycamoreford/relay/chain_stall_detector.h"
 #include "sycamoreford/relay/endpoint_limits.h"
@@ -24,11 +26,14 @@
 
 namespace sycamoreford {
 
-/// A request of this daemon that is in flight on a chain.
+/// A request of this daemon that is in flight on a chain or at another daemon.
 struct ActiveAttempt {
   std::string request_id;
-  Chain stages;
-  /// The call to the first endpoint. Outlives this object.
+  /// Empty if it was forwarded to another daemon.
+  Chain stages{};
+  /// Address of that daemon.
+  std::string peer{};
+  /// The call to the first endpoint or to the daemon. Outlives this object.
   HttpCall* call = nullptr;
   /// Set while a stage is suspected and nothing has arrived since: when `call`
   /// is interrupted again.
@@ -98,6 +103,7 @@
     daemon_count_ = daemon_count;
     rank_ = rank;
     limits_.SetDaemons(daemon_count, interval_factor());
+    peers_.SetIntervalFactor(interval_factor());
   }
   /// Factor for the intervals of calls that every daemon makes, so that the
   /// total rate of calls does not grow with the number of daemons.
@@ -140,6 +146,25 @@
   /// when chains are built, by this and by the other daemons.
   void OnSlowness(const std::string& id, double slowness);
 
+  /// The other daemons to which requests can be forwarded.
+  [[nodiscard]] PeerTable& peers() noexcept { return peers_; }
+
+  /// Called when a connection to an endpoint was established.
+  ///
+  /// \param begun_at when the attempt to connect began.
+  void OnConnected(TimePoint begun_at);
+  /// Called when a connection to an endpoint was not established.
+  void OnUnreachable(const std::string& id, TimePoint now);
+  /// Whether this daemon has lost its links to all endpoints.
+  [[nodiscard]] bool is_isolated() const noexcept {
+    return isolation_.is_isolated();
+  }
+
+  /// Whether this daemon has endpoints for a service: chains of all layers, or
+  /// an endpoint that is not suspected.
+  [[nodiscard]] bool HasEndpointsFor(const RelayService& service,
+                                     TimePoint now);
+
   [[nodiscard]] EndpointLimits& limits() noexcept { return limits_; }
 
   /// Sets the function that sends the due reports on limits to other daemons.
@@ -175,8 +200,9 @@
                            std::string_view reason,
                            TimePoint now);
 
-  /// Interrupts the calls that are silent since a suspicion from time to time,
-  /// since chains that can take their requests may have become available.
+  /// Interrupts the calls that are silent since a suspicion, or since another
+  /// daemon was last heard of, from time to time, since chains that can take
+  /// their requests may have become available.
   void InterruptSilentAttempts(TimePoint now);
 
  private:
@@ -207,6 +233,8 @@
   std::map<std::string, FleetRetryBudget> retry_budgets_;
   std::list<ActiveAttempt> attempts_;
   EndpointLimits limits_;
+  PeerTable peers_;
+  IsolationDetector isolation_;
   std::uint32_t daemon_count_;
   std::size_t rank_ = 0;
   std::function<void(std::string)> inspect_;
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -28,6 +29,16 @@
 /// A sound endpoint is silent for about a second. The endpoints themselves end
 /// work that depends on a dead one after this time.
 inline constexpr std::chrono::milliseconds kMaxSoundSilence{2'000};
+/// Silence of another daemon after which a request that was forwarded to it is
+/// given up if nothing else was heard of it either.
+inline constexpr std::chrono::milliseconds kMaxPeerSilence{1'000};
+/// Maximum number of daemons that a request is forwarded to.
+inline constexpr std::size_t kMaxTriedPeers = 3;
+/// Part of the time left that is reserved for the way through another daemon.
+inline constexpr std::chrono::milliseconds kForwardTime{5};
+/// Maximum number of requests of other daemons at the same time; leaves most of
+/// the descriptors to callers.
+inline constexpr std::size_t kMaxPeerRequests = 512;
 /// Maximum size of a response that is buffered before it is forwarded.
 inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 
@@ -45,6 +56,10 @@
   /// Number of times that it was sent to an endpoint.
   int sends = 0;
   int connect_failures = 0;
+  /// Whether another daemon forwarded the request to this one.
+  bool is_from_peer = false;
+  /// Daemons that the request was forwarded to.
+  std::set<std::string> tried_peers;
   /// Whether an endpoint may have run the request.
   bool may_have_run = false;
   /// Whether the request is sent once although its prompt is quarantined.
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -57,11 +58,19 @@
         .With("sends", context.sends)
         .With("after_ms", Elapsed(context));
     RecordOutcome(context, ToString(refusal));
-    co_await exchange.Respond(Codec::EncodeRefusal(
-        refusal, relay::DrawRetryAfter(random_, context.allowed_after)));
+    HttpResponse response = Codec::EncodeRefusal(
+        refusal, relay::DrawRetryAfter(random_, context.allowed_after));
+    if (context.is_from_peer && IsNotRun(refusal)) {
+      Codec::MarkNotRun(response);
+    }
+    co_await exchange.Respond(std::move(response));
   }
 
+  /// Counts how a request has ended. Those of other daemons are counted there.
   void RecordOutcome(const RequestContext& context, std::string_view outcome) {
+    if (context.is_from_peer) {
+      return;
+    }
     state_.metrics().OnEnded(
         context.service == nullptr ? "" : context.service->name,
         context.customer, outcome, Elapsed(context), context.sends);
@@ -86,9 +95,7 @@
   /// Whether the request may be sent once more, apart from the retry budget.
   bool MayBeSent(RequestContext& context) const {
     context.last_denial = "";
-    if (context.connect_failures >= relay::kMaxConnectFailures) {
-      context.last_denial = "no_connection";
-    } else if (context.sends >= relay::kMaxSends) {
+    if (context.sends >= relay::kMaxSends) {
       context.last_denial = "max_sends";
     } else if (context.TimeLeft(clock_.Now()) < relay::kMinTimeLeft) {
       context.last_denial = "no_time_left";
@@ -108,6 +115,61 @@
         state_.limits().TimeUntilAvailable(endpoint, clock_.Now()));
   }
 
+  /// Whether this daemon's own endpoints may be tried.
+  bool MayConnect(RequestContext& context) const {
+    if (context.connect_failures >= relay::kMaxConnectFailures) {
+      context.last_denial = "no_connection";
+      return false;
+    }
+    return true;
+  }
+
+  /// Chooses another daemon for a request that this one cannot serve, and
+  /// counts the send.
+  ///
+  /// \returns its address, or nothing if the request may not be forwarded or no
+  ///     daemon is known to serve it.
+  std::optional<std::string> AcquirePeer(RequestContext& context) {
+    if (context.is_from_peer ||
+        context.tried_peers.size() >= relay::kMaxTriedPeers) {
+      return std::nullopt;
+    }
+    auto peer = state_.peers().Pick(context.service->name, context.tried_peers,
+                                    clock_.Now());
+    if (peer) {
+      context.tried_peers.insert(*peer);
+      LogEvent(Severity::kInfo, "forwarded")
+          .With("request", context.request.id)
+          .With("peer", *peer)
+          .With("sends", context.sends)
+          .With("after_ms", Elapsed(context));
+      state_.metrics().OnForwarded(context.service->name);
+      ++context.sends;
+    }
+    return peer;
+  }
+
+  /// Encodes a request for another daemon.
+  ///
+  /// \param last_event_id event after which a stream is resumed; empty for
+  ///     the one that the caller named, if any.
+  /// Precondition: `AcquirePeer` has returned that daemon.
+  [[nodiscard]] HttpRequest EncodeForPeer(const HttpRequest& request,
+                                          const RequestContext& context,
+                                          std::string last_event_id) const {
+    PeerForward forward;
+    // The other daemon counts its own sends, and only those before this one
+    // make them retries.
+    forward.sends = context.sends - 1;
+    forward.tried_endpoints = context.tried_endpoints;
+    forward.revision = context.manifest->revision();
+    forward.time_left =
+        std::max(context.TimeLeft(clock_.Now()) - relay::kForwardTime,
+                 std::chrono::milliseconds(0));
+    forward.last_event_id = std::move(last_event_id);
+    return Codec::EncodeForPeer(request, forward);
+  }
+
   /// Counts a send. If the request was sent before, acquires a retry from the
   /// retry budget.
   ///
@@ -136,6 +198,20 @@
     context.may_have_run = context.may_have_run || step != AttemptStep::kNotRun;
   }
 
+  /// Records a send through another daemon after which the caller has no
+  /// complete response.
+  void RecordFailedForward(RequestContext& context,
+                           AttemptStep step,
+                           const std::string& peer) {
+    if (step == AttemptStep::kNotSent || step == AttemptStep::kNotRun) {
+      --context.sends;
+      return;
+    }
+    // Stands for the endpoint that the other daemon has tried.
+    context.tried_endpoints.insert(peer);
+    context.may_have_run = true;
+  }
+
   /// Throws if the caller has disconnected, since the cancelled call would
   /// otherwise be regarded as a failure of the endpoint.
   static boost::asio::awaitable<void> ThrowIfCallerGone() {
--- a/include/sycamoreford/relay/relay_codec.h
+++ b/include/sycamoreford/relay/relay_codec.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <optional>
 #include <string>
 
 #include "sycamoreford/adapters/http_message.h"
@@ -17,6 +18,8 @@
                               const ForwardOptions& options,
                               const std::string& id,
                               const HttpFields& fields,
+                              const PeerForward& forward,
+                              HttpResponse& response,
                               std::chrono::milliseconds retry_after) {
   { T::Decode(request) } -> std::same_as<Result<RelayRequest>>;
   { T::Encode(request, options) } -> std::same_as<HttpRequest>;
@@ -25,6 +28,12 @@
   {
     T::EncodeRefusal(Refusal::kNoRoute, retry_after)
     } -> std::same_as<HttpResponse>;
+  // Requests that one daemon forwards to another. The caller's headers are
+  // kept, including its API key.
+  { T::EncodeForPeer(request, forward) } -> std::same_as<HttpRequest>;
+  { T::DecodeFromPeer(request) } -> std::same_as<std::optional<PeerForward>>;
+  // Tells the daemon that forwarded a request that it has not run.
+  { T::MarkNotRun(response) } -> std::same_as<void>;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/relay_metrics.h
+++ b/include/sycamoreford/relay/relay_metrics.h
@@ -41,6 +41,15 @@
   /// \param has_begun whether the endpoint had begun to respond.
   void OnResponseLost(const std::string& service, bool has_begun);
 
+  /// Records that a request is forwarded to another daemon.
+  void OnForwarded(const std::string& service) {
+    ++services_[service].forwarded;
+  }
+  /// Records a request that another daemon has forwarded to this one.
+  void OnReceivedFromPeer(const std::string& service) {
+    ++services_[service].from_peers;
+  }
+
   /// All series in the Prometheus text format.
   [[nodiscard]] std::string ToPrometheus() const;
 
@@ -48,6 +57,8 @@
   struct ServiceSeries {
     std::map<std::string, std::uint64_t, std::less<>> outcomes;
     std::uint64_t sends = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t from_peers = 0;
     /// Responses lost before and after the endpoint had begun to respond.
     std::uint64_t lost_before_begin = 0;
     std::uint64_t lost_after_begin = 0;
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,19 @@
   Chain stages;
 };
 
+/// What a daemon tells another one that it forwards a request to.
+struct PeerForward {
+  /// Number of times that the request was sent to an endpoint.
+  int sends = 0;
+  /// Endpoints that may have run the request.
+  std::set<std::string> tried_endpoints;
+  /// Revision of the configuration by which the request was admitted.
+  std::uint64_t revision = 0;
+  std::chrono::milliseconds time_left{0};
+  /// Id of the event after which the stream resumes; empty to start it.
+  std::string last_event_id;
+};
+
 /// Status and decoded fields of the head of an endpoint's response.
 struct ResponseHead {
   unsigned status = 0;
@@ -108,6 +122,9 @@
 /// Formats the ids of prompt parts for logs: hexadecimal, separated by commas.
 [[nodiscard]] std::string ToString(const std::vector<PromptPartId>& parts);
 
+/// Whether a refusal proves that the request has not run.
+[[nodiscard]] bool IsNotRun(Refusal refusal) noexcept;
+
 /// Name of a refusal in logs and metrics, for example `no_endpoint`.
 [[nodiscard]] std::string_view ToString(Refusal refusal) noexcept;
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -325,4 +325,20 @@
   co_return response;
 }
 
+asio::awaitable<bool> CanConnect(const std::string& address,
+                                 std::chrono::milliseconds timeout) {
+  asio::ip::tcp::endpoint endpoint;
+  try {
+    endpoint = impl::ParseAddress(address);
+  } catch (const std::system_error&) {
+    co_return false;
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  beast::error_code error;
+  stream.expires_after(timeout);
+  co_await stream.async_connect(endpoint,
+                                asio::redirect_error(use_awaitable, error));
+  co_return !error;
+}
+
 }  // namespace sycamoreford
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -188,6 +188,12 @@
     return request_;
   }
 
+  [[nodiscard]] std::string client_ip() const override {
+    beast::error_code error;
+    const auto endpoint = stream_.socket().remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
+  }
+
   asio::awaitable<void> Respond(HttpResponse response) override {
     http::response<http::string_body> message(
         static_cast<http::status>(response.status), version_);
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -144,6 +144,11 @@
     object["requests"] = usage.requests;
     object["repeats"] = usage.retries;
     object["revision"] = revision;
+    if (status) {
+      object["dc"] = status->data_centre;
+      object["active"] = status->active_requests;
+      object["serves"] = status->serves;
+    }
   }
   return json::serialize(object);
 }
@@ -174,6 +179,12 @@
     message.usage.requests = object.at("requests").to_number<std::uint32_t>();
     message.usage.retries = object.at("repeats").to_number<std::uint32_t>();
     message.revision = object.at("revision").to_number<std::uint64_t>();
+    if (object.contains("serves")) {
+      message.status = PeerStatus{
+          .data_centre = json::value_to<std::string>(object.at("dc")),
+          .active_requests = object.at("active").to_number<std::uint32_t>(),
+          .serves = object.at("serves").as_bool()};
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -70,6 +70,7 @@
     : data_centre_(std::move(data_centre)),
       retry_limits_(retry_limits),
       service_selector_(data_centre_),
+      peers_(data_centre_),
       daemon_count_(kAssumedDaemonCount) {
   limits_.SetDaemons(daemon_count_, interval_factor());
 }
@@ -180,7 +181,8 @@
     const std::string& first) const {
   std::set<std::string> ids;
   for (const ActiveAttempt& attempt : attempts_) {
-    if (attempt.stages.front().endpoint.value() == first) {
+    if (!attempt.stages.empty() &&
+        attempt.stages.front().endpoint.value() == first) {
       for (const ChainStage& stage : attempt.stages) {
         ids.insert(stage.endpoint.value());
       }
@@ -249,6 +251,36 @@
             static_cast<std::int64_t>(*per_second * kSecondsPerMinute));
 }
 
+void RelayState::OnConnected(TimePoint begun_at) {
+  const bool was_isolated = is_isolated();
+  isolation_.OnConnected(begun_at);
+  if (was_isolated && !is_isolated()) {
+    LogEvent(Severity::kWarning, "endpoints_regained");
+  }
+}
+
+void RelayState::OnUnreachable(const std::string& id, TimePoint now) {
+  const bool was_isolated = is_isolated();
+  const auto known = static_cast<std::size_t>(std::count_if(
+      directory_.endpoints().begin(), directory_.endpoints().end(),
+      [](const auto& it) { return !it.second.record.is_leaving; }));
+  isolation_.OnUnreachable(id, known, now);
+  if (is_isolated() && !was_isolated) {
+    LogEvent(Severity::kWarning, "endpoints_lost").With("endpoints", known);
+  }
+}
+
+bool RelayState::HasEndpointsFor(const RelayService& service, TimePoint now) {
+  if (service.engine) {
+    return !ChainSelectorFor(service, now).chains().empty();
+  }
+  return std::any_of(directory_.endpoints().begin(),
+                     directory_.endpoints().end(), [&](const auto& it) {
+                       return it.second.record.service == service.name &&
+                              it.second.IsUsable(now);
+                     });
+}
+
 void RelayState::Inspect(const std::string& id) {
   if (inspect_) {
     inspect_(id);
@@ -261,7 +293,8 @@
   const KnownEndpoint* known = directory_.Find(id);
   const bool was_usable = known != nullptr && known->IsUsable(now);
   const Duration time = directory_.Suspect(id, now);
-  if (was_usable && notify_peers_) {
+  // An endpoint that this daemon cannot reach may be sound.
+  if (was_usable && notify_peers_ && !is_isolated()) {
     notify_peers_(id, std::nullopt);
   }
   std::size_t requests = 0;
@@ -284,6 +317,10 @@
 
 void RelayState::InterruptSilentAttempts(TimePoint now) {
   for (ActiveAttempt& attempt : attempts_) {
+    if (!attempt.peer.empty() && !attempt.next_interrupt_at &&
+        !peers_.IsHeard(attempt.peer, now)) {
+      attempt.next_interrupt_at = now;
+    }
     if (attempt.next_interrupt_at && now >= *attempt.next_interrupt_at) {
       attempt.next_interrupt_at = now + kSilenceInterval;
       attempt.call->Interrupt();
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -50,6 +50,15 @@
     AppendSample(text, "sycamoreford_relay_sends_total",
                  label("service", service), std::to_string(series.sends));
   }
+  AppendType(text, "sycamoreford_relay_forwarded_total", "counter");
+  for (const auto& [service, series] : services_) {
+    AppendSample(text, "sycamoreford_relay_forwarded_total",
+                 label("service", service) + "," + label("direction", "out"),
+                 std::to_string(series.forwarded));
+    AppendSample(text, "sycamoreford_relay_forwarded_total",
+                 label("service", service) + "," + label("direction", "in"),
+                 std::to_string(series.from_peers));
+  }
   AppendType(text, "sycamoreford_relay_responses_lost_total", "counter");
   for (const auto& [service, series] : services_) {
     AppendSample(text, "sycamoreford_relay_responses_lost_total",
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -32,6 +32,10 @@
   return "unknown";
 }
 
+bool IsNotRun(Refusal refusal) noexcept {
+  return refusal != Refusal::kAnswerLost && refusal != Refusal::kTimedOut;
+}
+
 std::string ToString(const std::vector<PromptPartId>& parts) {
   std::ostringstream text;
   text << std::hex;
--- a/tests/relay_cut_off_test.cc
+++ b/tests/relay_cut_off_test.cc
@@ -151,6 +151,7 @@
         Announce(relay, i, "plain");
       }
       relays.back()->WatchEndpoints(context_);
+      relays.back()->TakeForwardedRequests();
     }
   }
   ~Deployment() {
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -90,7 +90,13 @@
                HttpLimits{},
                [this](HttpExchange& exchange) {
                  return handler.Handle(exchange);
-               }) {
+               }),
+        internal_server(context,
+                        address,
+                        HttpLimits{},
+                        [this](HttpExchange& exchange) {
+                          return HandleInternal(exchange);
+                        }) {
     state.Accept(manifest);
     boost::asio::co_spawn(context, roster.Run(), boost::asio::detached);
     boost::asio::co_spawn(context, peers.Receive(), boost::asio::detached);
@@ -100,6 +106,18 @@
                           boost::asio::detached);
   }
 
+  /// Takes requests that other relays forward, and tells them so.
+  void TakeForwardedRequests() {
+    peers.SetStatus([this](const std::string& name) {
+      const RelayService* service = state.manifest()->FindService(name);
+      return PeerStatus{.data_centre = "dc-0",
+                        .active_requests = static_cast<std::uint32_t>(
+                            server.active_requests()),
+                        .serves = service != nullptr && !state.is_isolated() &&
+                                  state.HasEndpointsFor(*service, clock.Now())};
+    });
+  }
+
   /// Runs the inspector of stalled chains and suspected endpoints.
   void WatchEndpoints(boost::asio::io_context& context) {
     boost::asio::co_spawn(context, inspector.Watch(), boost::asio::detached);
@@ -119,6 +137,15 @@
   PeerService<SilentStore, fakes::FaultyTable, SteadyClock> peers;
   RelayHandler<platform::HttpRelayCodec, SteadyClock> handler{state, clock};
   HttpServer server;
+  /// At the same address as the datagrams.
+  HttpServer internal_server;
+
+ private:
+  boost::asio::awaitable<void> HandleInternal(HttpExchange& exchange) {
+    if (peers.IsKnownHost(exchange.client_ip())) {
+      co_await handler.HandleFromPeer(exchange);
+    }
+  }
 };
 
 }  // namespace sycamoreford::support
