--- a/include/sycamoreford/adapters/http_server.h
+++ b/include/sycamoreford/adapters/http_server.h
@@ -56,7 +56,7 @@
   /// Binds the address and starts accepting connections.
   ///
   /// \param address IP address and port; port 0 picks a free one.
-  /// \throws std::system_error if the address cannot be bound.
+  /// \throws boost::system::system_error if the address cannot be bound.
   HttpServer(boost::asio::io_context& context,
              const std::string& address,
              HttpLimits limits,
--- a/tests/relay_daemon_test.cc
+++ b/tests/relay_daemon_test.cc
@@ -262,7 +262,9 @@
     asio::io_context context;
     const asio::ip::tcp::acceptor other(context, impl::ParseAddress(address));
     const RunningDaemon daemon(milliseconds(0), {"--metrics-port", port});
-    CHECK(WaitUntil([&] { return daemon.IsReady(); }));
+    const bool is_ready = WaitUntil([&] { return daemon.IsReady(); });
+    CAPTURE(daemon.process->Output());
+    CHECK(is_ready);
     CHECK(daemon.process->Output().find("metrics_port_unavailable") !=
           std::string::npos);
   }
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include "endpoint_client.h"
@@ -52,13 +53,24 @@
   }
 };
 
-/// A free UDP address on the loopback host with this number.
+/// An address on the loopback host with this number whose port is free for UDP
+/// and TCP.
 inline std::string FreeAddress(int host) {
   const std::string ip = "127.0.0." + std::to_string(host);
   boost::asio::io_context context;
-  const boost::asio::ip::udp::socket socket(
-      context, {boost::asio::ip::make_address(ip), 0});
-  return ip + ":" + std::to_string(socket.local_endpoint().port());
+  for (;;) {
+    const boost::asio::ip::udp::socket datagrams(
+        context, {boost::asio::ip::make_address(ip), 0});
+    const auto port = datagrams.local_endpoint().port();
+    boost::asio::ip::tcp::acceptor connections(context,
+                                               boost::asio::ip::tcp::v4());
+    boost::system::error_code error;
+    connections.set_option(boost::asio::socket_base::reuse_address(true));
+    connections.bind({boost::asio::ip::make_address(ip), port}, error);
+    if (!error) {
+      return ip + ":" + std::to_string(port);
+    }
+  }
 }
 
 /// A relay that exchanges messages with others over UDP. The test sets the
