Let the placement lease lapse at a daemon without endpoints

A holder of the lease that is cut off from the endpoints kept renewing it, so that no other daemon repaired chains for as long as the cut lasted; cut off from some of them at first, it counted sound ones out. It no longer renews the lease and gives no orders while it is isolated; another daemon takes over after the lease has expired.

fleet_loops_test "a holder that has lost all endpoints lets the lease lapse" failed before (the successor got no lease within 5 s).

--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -53,7 +53,7 @@
     boost::asio::co_spawn(executor, MaintainLease(), boost::asio::detached);
     for (;;) {
       co_await Pause(kPlacementInterval);
-      if (!lease_.Token() || !state_.manifest()) {
+      if (!lease_.Token() || !state_.manifest() || state_.is_isolated()) {
         scheduler_.ClearPendingOrders();
         unresponsive_.clear();
         continue;
@@ -67,6 +67,9 @@
     }
   }
 
+  /// Whether this daemon may send orders.
+  [[nodiscard]] bool has_lease() const { return lease_.Token().has_value(); }
+
   /// Releases the lease, so that another daemon can take over immediately.
   boost::asio::awaitable<void> Release() { co_await lease_.Release(); }
 
@@ -89,8 +92,14 @@
   /// Interval between two checks of a suspected endpoint.
   static constexpr std::chrono::milliseconds kSuspectCheckInterval{400};
 
+  /// Acquires and renews the lease. An isolated daemon lets it lapse: it can
+  /// neither tell which endpoints are lost nor send them orders.
   boost::asio::awaitable<void> MaintainLease() {
     for (std::uint64_t step = 0;; ++step) {
+      if (state_.is_isolated()) {
+        co_await Pause(kLeaseStepInterval);
+        continue;
+      }
       const bool had_lease = lease_.Token().has_value();
       lease_.SetPollInterval(state_.rank() < kEagerCandidates
                                  ? kEagerPollInterval
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -335,6 +335,23 @@
     }
   }
 
+  SECTION("a holder that has lost all endpoints lets the lease lapse") {
+    fixture.context.run_for(milliseconds(2'000));
+    REQUIRE(fixture.ChainCount() == 1);
+    for (const std::string id : {"0", "1", "2", "3"}) {
+      fixture.state.OnUnreachable(id, fixture.clock.Now());
+      fixture.state.directory().Suspect(id, fixture.clock.Now());
+    }
+    RelayState other{"south", RetryLimits{}};
+    PlacementService<fakes::FaultyTable, FakeEndpoints, SteadyClock> successor{
+        other, fixture.table, fixture.endpoints, fixture.clock, "run-2"};
+    other.Accept(Configuration(1));
+    asio::co_spawn(fixture.context, successor.Run(), asio::detached);
+    const auto orders = fixture.endpoints.orders.size();
+    fixture.context.run_for(milliseconds(5'000));
+    CHECK(fixture.endpoints.orders.size() == orders);
+    CHECK(successor.has_lease());
+  }
   SECTION("an endpoint that does not respond gets no order") {
     fixture.endpoints.accelerators["10.0.0.1:0"].is_silent = true;
     fixture.context.run_for(milliseconds(2'200));
