Bound what is received of a response without end

Bytes without end that are no response, such as a chunk extension, filled the memory until an exception ended the whole process; an event without end did so more slowly and was scanned again from its start with each read, and a sender that was fast enough was read on after the deadline.

The buffer before the parser is bounded to 128 KB, an event to 256 KB and a whole response to 4 MB instead of 16 MB, and nothing is read after the deadline. The connection is closed, and the endpoint counts as failed.

--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -100,7 +100,9 @@
 
   /// Reads the next bytes of the body.
   ///
-  /// \param timeout maximum time; `kNoTimeout` for no limit.
+  /// \param timeout maximum time; `kNoTimeout` for no limit. If it is 0,
+  /// nothing
+  ///     is read.
   /// \returns the bytes, or nothing at the end of a complete message. Errors as
   ///     for `Open`.
   [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -40,7 +40,7 @@
 /// the descriptors to callers.
 inline constexpr std::size_t kMaxPeerRequests = 512;
 /// Maximum size of a response that is buffered before it is forwarded.
-inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
+inline constexpr std::size_t kMaxResponseBytes = 4UL * 1024 * 1024;
 
 /// State of one request while it is processed.
 struct RequestContext {
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -82,6 +82,13 @@
         OnEvents();
         co_return AttemptStep::kEvents;
       }
+      if (options_.position.is_too_long()) {
+        call_.Abort();
+        failure_ = {.code = Errc::kBadEndpointAnswer,
+                    .outcome = Outcome::kUnknown,
+                    .where = "event too long"};
+        co_return AttemptStep::kLost;
+      }
     }
   }
 
--- a/include/sycamoreford/relay/event_splitter.h
+++ b/include/sycamoreford/relay/event_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,6 +15,9 @@
 /// Thread safety: none.
 class EventSplitter {
  public:
+  /// Maximum size of an event; longer ones are not delivered.
+  static constexpr std::size_t kMaxEventBytes = 256UL * 1024;
+
   /// Appends received bytes.
   ///
   /// \returns the events completed by these bytes, as received; may be empty.
@@ -34,6 +38,12 @@
     return std::string_view(buffer_).substr(consumed_);
   }
 
+  /// Whether the incomplete event exceeds `kMaxEventBytes`. The stream must not
+  /// be read on.
+  [[nodiscard]] bool is_too_long() const noexcept {
+    return buffer_.size() - consumed_ > kMaxEventBytes;
+  }
+
   /// Discards the incomplete event, because another endpoint continues the
   /// stream. Events with ids up to `last_id` that it sends again are dropped.
   void Restart();
@@ -43,6 +53,9 @@
 
   std::string buffer_;
   std::size_t consumed_ = 0;
+  /// Size of the part of `buffer_` without an end of an event after
+  /// `consumed_`.
+  std::size_t scanned_ = 0;
   std::string complete_events_;
   std::string last_id_;
   std::uint64_t event_count_ = 0;
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -20,11 +20,15 @@
 namespace http = beast::http;
 using asio::use_awaitable;
 
+/// Maximum number of bytes that are received ahead of the parser. Heads, chunk
+/// extensions and trailers must fit.
+constexpr std::size_t kMaxBufferBytes = 128UL * 1024;
+
 struct HttpCall::State {
   explicit State(const asio::any_io_executor& executor) : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferBytes};
   http::response_parser<http::string_body> parser;
   HttpFields fields;
   /// The other end, for failures.
@@ -254,6 +258,11 @@
 asio::awaitable<Result<std::optional<std::string>>> HttpCall::ReadSome(
     std::chrono::milliseconds timeout) {
   std::string& body = state_->parser.get().body();
+  // Bytes that are there already would arrive before the timeout takes effect.
+  if (timeout == std::chrono::milliseconds(0)) {
+    state_->was_interrupted = false;
+    co_return ExchangeFailure(beast::error::timeout, "body");
+  }
   if (timeout == kNoTimeout) {
     state_->stream.expires_never();
   } else {
--- a/src/relay/event_splitter.cc
+++ b/src/relay/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "sycamoreford/relay/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace sycamoreford {
@@ -42,18 +43,24 @@
 }  // namespace
 
 std::string_view EventSplitter::Feed(std::string_view bytes) {
+  scanned_ -= consumed_;
   buffer_.erase(0, consumed_);
   consumed_ = 0;
   buffer_.append(bytes);
   complete_events_.clear();
   for (;;) {
-    const std::size_t end = buffer_.find(kEventEnd, consumed_);
+    const std::size_t end = buffer_.find(kEventEnd, scanned_);
     if (end == std::string::npos) {
+      // The end may have arrived in part.
+      scanned_ = std::max(
+          consumed_,
+          buffer_.size() - std::min(buffer_.size(), kEventEnd.size() - 1));
       return complete_events_;
     }
     const std::size_t next = end + kEventEnd.size();
     ProcessEvent(std::string_view(buffer_).substr(consumed_, next - consumed_));
     consumed_ = next;
+    scanned_ = next;
   }
 }
 
@@ -73,6 +80,7 @@
 void EventSplitter::Restart() {
   buffer_.clear();
   consumed_ = 0;
+  scanned_ = 0;
   last_delivered_id_ = ParseNumber(last_id_);
 }
 
--- a/tests/fakes/scripted_endpoint.cc
+++ b/tests/fakes/scripted_endpoint.cc
@@ -43,6 +43,10 @@
   return {EndpointStep::Kind::kStopListening};
 }
 
+EndpointStep SendForever(std::string bytes, std::chrono::milliseconds pause) {
+  return {EndpointStep::Kind::kSendForever, std::move(bytes), pause};
+}
+
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context& context)
     : context_(context),
       acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
@@ -167,6 +171,18 @@
       case EndpointStep::Kind::kFallSilent:
         silent_until_ = std::chrono::steady_clock::now() + step.duration;
         break;
+      case EndpointStep::Kind::kSendForever: {
+        while (!error) {
+          co_await asio::async_write(socket, asio::buffer(step.bytes), token);
+          if (!error && step.duration > std::chrono::milliseconds(0)) {
+            asio::steady_timer timer(context_, step.duration);
+            co_await timer.async_wait(token);
+          }
+        }
+        const std::lock_guard lock(mutex_);
+        ++closed_by_peer_count_;
+        co_return;
+      }
       case EndpointStep::Kind::kStopListening:
         StopListening();
         break;
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -32,6 +32,10 @@
     kFallSilent,
     /// Refuses all further connections.
     kStopListening,
+    /// Sends `bytes` again and again, with a pause of `duration`, until the
+    /// peer
+    /// closes the connection.
+    kSendForever,
   };
   Kind kind = Kind::kSend;
   std::string bytes{};
@@ -53,6 +57,11 @@
 /// The endpoint refuses all further connections; those that are open go on.
 [[nodiscard]] EndpointStep StopListening();
 
+/// The endpoint sends these bytes without end, until the peer closes.
+[[nodiscard]] EndpointStep SendForever(
+    std::string bytes,
+    std::chrono::milliseconds pause = std::chrono::milliseconds(0));
+
 /// An endpoint that reads requests and responds according to a script, also
 /// with malformed bytes.
 ///
@@ -83,7 +92,8 @@
   /// The requests received so far, without those for `/report`.
   [[nodiscard]] std::vector<HttpRequest> requests() const;
 
-  /// Number of connections that the peer closed during `WaitForClose`.
+  /// Number of connections that the peer closed during `WaitForClose` or
+  /// `SendForever`.
   [[nodiscard]] int closed_by_peer_count() const;
 
   /// Response body for `/report`; if empty, the connection is reset instead.
