Log and count responses that say that an endpoint leaves

Callers' requests reached endpoints that had said that they leave.

Responses, reports and replies to orders are now decoded; the first that tells of a run of an endpoint is logged as `endpoint_leaving` with its source and counted. What requests are sent to does not change.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -111,6 +111,10 @@
     if (head().load) {
       selector_.OnReportedLoad(destination(), *head().load, clock().Now());
     }
+    if (head().IsTrusted() && head().is_leaving && stage_runs_.front()) {
+      state_.OnLeaving({destination(), *stage_runs_.front()},
+                       LeavingSource::kResponse);
+    }
     if (head().IsTrusted()) {
       state_.OnStatedLimit(destination(), head().request_limit, sent_at(),
                            clock().Now());
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,8 @@
   std::string address;
   /// The request, encoded for this endpoint.
   HttpRequest request;
+  /// Called when the head of the response has arrived.
+  std::function<void(const ResponseHead&)> on_head;
   TimePoint deadline{};
   std::chrono::milliseconds connect_timeout{0};
   std::size_t max_response_bytes = 0;
@@ -74,6 +77,9 @@
     has_begun_ = true;
     head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
                                       call_.fields());
+    if (options_.on_head) {
+      options_.on_head(head_);
+    }
     auto body = co_await call_.ReadAll(options_.max_response_bytes, TimeLeft());
     if (head_.is_not_run) {
       Report(false);
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -222,7 +223,18 @@
     forward.customer = context.customer;
     return EndpointAttemptOptions{.endpoint = record.id,
                                   .address = record.address,
-                                  .request = Codec::Encode(request, forward)};
+                                  .request = Codec::Encode(request, forward),
+                                  .on_head = LeavingReporterFor(record)};
+  }
+
+  /// Returns a function that reports an endpoint if it states that it leaves.
+  std::function<void(const ResponseHead&)> LeavingReporterFor(
+      const EndpointRecord& record) {
+    return [this, run = RunOf(record)](const ResponseHead& head) {
+      if (head.is_leaving && head.IsTrusted()) {
+        state_.OnLeaving(run, LeavingSource::kResponse);
+      }
+    };
   }
 
   /// Chooses another daemon and counts the send.
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -135,6 +135,9 @@
       state_.OnEndpointSuspected(id, "restarted", clock_.Now());
       co_return;
     }
+    if (report->is_leaving && known != nullptr) {
+      state_.OnLeaving(RunOf(known->record), LeavingSource::kReport);
+    }
     state_.directory().OnLayers(id, report->layers);
     state_.OnSlowness(id, report->slowness);
     state_.OnStatedLimit(id, report->request_limit, sent_at, clock_.Now());
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -185,6 +185,11 @@
       co_return;
     }
     known = state_.directory().Find(change.accelerator_id);
+    if (known != nullptr &&
+        known->record.started_at_ms == report->started_at_ms &&
+        report->is_leaving) {
+      state_.OnLeaving(RunOf(known->record), LeavingSource::kReport);
+    }
     const bool was_degraded = known != nullptr && IsDegraded(known->slowness);
     state_.OnSlowness(change.accelerator_id, report->slowness);
     if (IsDegraded(report->slowness) && !was_degraded) {
@@ -202,17 +207,21 @@
     order.fencing = *token;
     order.expected_sequence = report->order_sequence;
     state_.OnSent(change.accelerator_id, clock_.Now());
-    const auto outcome = co_await control_.SendOrder(address, order);
+    const auto reply = co_await control_.SendOrder(address, order);
+    if (reply && reply->is_leaving) {
+      state_.OnLeaving({change.accelerator_id, report->started_at_ms},
+                       LeavingSource::kOrder);
+    }
     LogEvent(Severity::kInfo, "order_given")
         .With("endpoint", change.accelerator_id)
         .With("first_layer", change.layers.first)
         .With("end_layer", change.layers.end)
         .With("sequence", order.expected_sequence)
         .With("fencing", token->value())
-        .With("outcome",
-              outcome ? OutcomeName(*outcome) : ToString(outcome.error().code));
-    if (outcome && *outcome != OrderOutcome::kBegun &&
-        *outcome != OrderOutcome::kAlreadyInPlace) {
+        .With("outcome", reply ? OutcomeName(reply->outcome)
+                               : ToString(reply.error().code));
+    if (reply && reply->outcome != OrderOutcome::kBegun &&
+        reply->outcome != OrderOutcome::kAlreadyInPlace) {
       scheduler_.OnRefused(change.accelerator_id, clock_.Now());
     }
   }
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -15,6 +15,8 @@
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_directory.h"
 #include "sycamoreford/fleet/isolation_detector.h"
+#include "sycamoreford/fleet/leaving_endpoints.h"
+#include "sycamoreford/fleet/leaving_source.h"
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/chain_selector.h"
 #include "sycamoreford/relay/chain_stall_detector.h"
@@ -172,6 +174,9 @@
     notify_limits_ = std::move(notify);
   }
 
+  /// Called when a run of an endpoint is known to be leaving.
+  void OnLeaving(const EndpointRunId& run, LeavingSource source);
+
   /// Called for each response of an endpoint.
   ///
   /// \param per_second requests per second that the endpoint accepts from all
@@ -225,6 +230,7 @@
   RetryLimits retry_limits_;
   std::shared_ptr<const Manifest> manifest_;
   EndpointDirectory directory_;
+  LeavingEndpoints leaving_;
   ServiceSelector service_selector_;
   ChainStallDetector stall_detector_;
   PromptGuard prompt_guard_;
--- a/include/sycamoreford/fleet/endpoint_control.h
+++ b/include/sycamoreford/fleet/endpoint_control.h
@@ -36,6 +36,13 @@
   kRefused,
 };
 
+/// An endpoint's response to an order.
+struct OrderReply {
+  OrderOutcome outcome = OrderOutcome::kRefused;
+  /// Whether the endpoint states that it will stop soon.
+  bool is_leaving = false;
+};
+
 /// Reads reports of endpoints and sends them orders. An order whose call failed
 /// may still be carried out later.
 template <class T>
@@ -47,7 +54,7 @@
     } -> std::same_as<boost::asio::awaitable<Result<EndpointReport>>>;
   {
     control.SendOrder(address, order)
-    } -> std::same_as<boost::asio::awaitable<Result<OrderOutcome>>>;
+    } -> std::same_as<boost::asio::awaitable<Result<OrderReply>>>;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/fleet/endpoint_record.h
+++ b/include/sycamoreford/fleet/endpoint_record.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "sycamoreford/core/layer_range.h"
+#include "sycamoreford/fleet/endpoint_run_id.h"
 
 namespace sycamoreford {
 
@@ -30,4 +31,9 @@
                          const EndpointRecord&) = default;
 };
 
+/// The run that an announcement belongs to.
+[[nodiscard]] inline EndpointRunId RunOf(const EndpointRecord& record) {
+  return {record.id, record.started_at_ms};
+}
+
 }  // namespace sycamoreford
--- a/include/sycamoreford/fleet/endpoint_report.h
+++ b/include/sycamoreford/fleet/endpoint_report.h
@@ -31,6 +31,8 @@
   double slowness = 1;
   /// As `ResponseHead::request_limit`.
   std::optional<double> request_limit;
+  /// Whether the endpoint states that it will stop soon.
+  bool is_leaving = false;
   std::vector<StalledRequest> stalled;
 };
 
--- a/include/sycamoreford/relay/relay_metrics.h
+++ b/include/sycamoreford/relay/relay_metrics.h
@@ -50,6 +50,11 @@
     ++services_[service].from_peers;
   }
 
+  /// Records that an endpoint was found to be leaving.
+  ///
+  /// \param source name of a `LeavingSource`.
+  void OnLeaving(std::string_view source) { ++leaving_[std::string(source)]; }
+
   /// All series in the Prometheus text format.
   [[nodiscard]] std::string ToPrometheus() const;
 
@@ -73,6 +78,8 @@
   static constexpr std::size_t kMaxCustomers = 200;
 
   std::map<std::string, ServiceSeries> services_;
+  /// Endpoints found to be leaving, by source.
+  std::map<std::string, std::uint64_t> leaving_;
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>>
       customers_;
 };
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -80,6 +80,9 @@
   /// Requests per second that the endpoint accepts from all daemons together;
   /// empty if it states no limit.
   std::optional<double> request_limit;
+  /// Whether the endpoint states that it will stop soon. Holds for the endpoint
+  /// that was meant only if `IsTrusted`.
+  bool is_leaving = false;
 
   [[nodiscard]] bool IsServerError() const noexcept {
     constexpr unsigned kFirstServerError = 500;
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -211,6 +211,17 @@
   }
 }
 
+void RelayState::OnLeaving(const EndpointRunId& run, LeavingSource source) {
+  if (!leaving_.Add(run)) {
+    return;
+  }
+  metrics_.OnLeaving(ToString(source));
+  LogEvent(Severity::kInfo, "endpoint_leaving")
+      .With("endpoint", run.id)
+      .With("started_at_ms", run.started_at_ms)
+      .With("source", ToString(source));
+}
+
 void RelayState::OnStatedLimit(const std::string& id,
                                std::optional<double> per_second,
                                TimePoint sent_at,
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -68,6 +68,11 @@
                  label("service", service) + "," + label("begun", "yes"),
                  std::to_string(series.lost_after_begin));
   }
+  AppendType(text, "sycamoreford_relay_leaving_endpoints_total", "counter");
+  for (const auto& [source, count] : leaving_) {
+    AppendSample(text, "sycamoreford_relay_leaving_endpoints_total",
+                 label("source", source), std::to_string(count));
+  }
   const auto times = [&](const std::string& name,
                          TimeHistogram ServiceSeries::*member) {
     AppendType(text, name, "histogram");
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -239,8 +239,8 @@
     co_return accelerator.report;
   }
 
-  asio::awaitable<Result<OrderOutcome>> SendOrder(const std::string& address,
-                                                  const LayerOrder& order) {
+  asio::awaitable<Result<OrderReply>> SendOrder(const std::string& address,
+                                                const LayerOrder& order) {
     AcceleratorState& accelerator = accelerators[address];
     orders.push_back(order);
     const std::string ordered_id = address.substr(address.find(':') + 1);
@@ -249,17 +249,17 @@
       ++orders_before_slowness_known;
     }
     if (order.fencing < highest_token) {
-      co_return OrderOutcome::kFenced;
+      co_return OrderReply{.outcome = OrderOutcome::kFenced};
     }
     highest_token = order.fencing;
     if (order.expected_sequence != accelerator.report.order_sequence) {
-      co_return OrderOutcome::kConflict;
+      co_return OrderReply{.outcome = OrderOutcome::kConflict};
     }
     ++accelerator.report.order_sequence;
     accelerator.report.layers = order.layers;
     const std::string id = address.substr(address.find(':') + 1);
     state->directory().OnLayers(id, order.layers);
-    co_return OrderOutcome::kBegun;
+    co_return OrderReply{.outcome = OrderOutcome::kBegun};
   }
 };
 
