--- /dev/null
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "sycamoreford/adapters/chain_attempt.h"
+#include "sycamoreford/adapters/peer_attempt.h"
+#include "sycamoreford/adapters/request_processor.h"
+#include "sycamoreford/relay/event_splitter.h"
+
+namespace sycamoreford {
+
+/// Chooses where a request to a model service is sent: to a chain, or through
+/// another daemon.
+///
+/// Thread safety: none; runs on the thread of the `RelayState`.
+template <RelayCodec Codec, Clock TheClock>
+class ChainAttemptOpener : protected RequestProcessor<Codec, TheClock> {
+  using Processor = RequestProcessor<Codec, TheClock>;
+
+ protected:
+  using Attempt = StreamAttempt<Codec, TheClock>;
+  using Processor::clock_;
+  using Processor::state_;
+  using typename Processor::RequestContext;
+
+  /// Precondition: `state` and `clock` outlive this object.
+  ChainAttemptOpener(RelayState& state, const TheClock& clock)
+      : Processor(state, clock) {}
+
+  /// Starts to send the request to a chain, or through another daemon if this
+  /// one has no chain.
+  ///
+  /// \param position position in the stream after which it goes on.
+  /// \returns null if the request may not be sent or nothing can take it.
+  std::shared_ptr<Attempt> OpenAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      const EventSplitter& position) {
+    if (!MayBeSent(context)) {
+      return nullptr;
+    }
+    std::shared_ptr<Attempt> attempt;
+    const bool is_isolated = state_.is_isolated();
+    if (!is_isolated) {
+      attempt = OpenChainAttempt(executor, request, context, position);
+    }
+    if (!attempt && (is_isolated || LacksChains(context))) {
+      attempt = OpenPeerAttempt(executor, request, context, position);
+    }
+    if (!attempt && is_isolated) {
+      attempt = OpenChainAttempt(executor, request, context, position);
+    }
+    return attempt;
+  }
+
+ private:
+  using ToChain = ChainAttempt<Codec, TheClock>;
+  using Processor::AcquirePeer;
+  using Processor::EncodeForPeer;
+  using Processor::MayBeSent;
+  using Processor::MayConnect;
+  using Processor::OnLimited;
+  using Processor::TryAcquireSend;
+
+  [[nodiscard]] static double ExpectedTokens(const RequestContext& context) {
+    const EngineProfile& engine = *context.service->engine;
+    const double prompt = context.request.prompt_tokens > 0
+                              ? context.request.prompt_tokens
+                              : engine.mean_prompt_tokens;
+    return prompt + engine.mean_output_tokens;
+  }
+
+  [[nodiscard]] ForwardOptions OptionsFor(const RequestContext& context,
+                                          const Chain& stages,
+                                          const EventSplitter& position) const {
+    ForwardOptions options;
+    options.endpoint_id = stages.front().endpoint.value();
+    options.time_left = context.TimeLeft(clock_.Now());
+    options.customer = context.customer;
+    options.stages = stages;
+    const bool resumes = position.event_count() > 0;
+    options.urgency =
+        std::min(context.priority + (resumes ? relay::kResumeUrgencyOffset : 0),
+                 relay::kLowestUrgency);
+    options.last_event_id =
+        resumes ? position.last_id() : context.request.last_event_id;
+    return options;
+  }
+
+  /// Whether this daemon has no chain that it can connect to.
+  [[nodiscard]] bool LacksChains(const RequestContext& context) const {
+    return context.connect_failures >= relay::kMaxConnectFailures ||
+           !state_.HasEndpointsFor(*context.service, clock_.Now());
+  }
+
+  /// Starts to send the request through another daemon.
+  ///
+  /// \returns null if none can take it.
+  std::shared_ptr<Attempt> OpenPeerAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      EventSplitter position) {
+    auto peer = AcquirePeer(context);
+    if (!peer) {
+      return nullptr;
+    }
+    position.Restart();
+    HttpRequest encoded = EncodeForPeer(
+        request, context,
+        position.event_count() > 0 ? position.last_id() : std::string());
+    return std::make_shared<PeerAttempt<Codec, TheClock>>(
+        state_, clock_, executor,
+        StreamAttemptOptions{.request_id = context.request.id,
+                             .address = std::move(*peer),
+                             .request = std::move(encoded),
+                             .deadline = context.deadline,
+                             .connect_timeout = relay::kConnectTimeout,
+                             .streams = context.route->streams,
+                             .position = std::move(position)},
+        relay::kMaxPeerSilence);
+  }
+
+  /// Starts to send the request to a chain.
+  ///
+  /// \param position position in the stream after which the chain goes on.
+  /// \returns null if the request may not be sent or no chain can take it.
+  std::shared_ptr<Attempt> OpenChainAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      EventSplitter position) {
+    if (!MayConnect(context)) {
+      return nullptr;
+    }
+    const double tokens = ExpectedTokens(context);
+    const bool only_tried =
+        context.tried_endpoints.size() >= context.route->max_attempts;
+    const TimePoint now = clock_.Now();
+    const ChainSelector& selector =
+        state_.ChainSelectorFor(*context.service, now);
+    const auto pick = [&](const std::set<std::string>& excluded) {
+      return selector.Pick(tokens, state_.daemon_count(),
+                           context.tried_endpoints, only_tried, now, excluded);
+    };
+    const ServingChain* chain = pick(state_.limits().Exhausted(now));
+    if (chain == nullptr) {
+      const ServingChain* limited = pick({});
+      if (limited != nullptr) {
+        OnLimited(context, limited->first_endpoint());
+      } else {
+        context.last_denial = "no_chain";
+      }
+      return nullptr;
+    }
+    if (!TryAcquireSend(context)) {
+      return nullptr;
+    }
+    state_.OnSent(chain->stages.front().endpoint.value(), now);
+    position.Restart();
+    const Chain stages = chain->stages;
+    HttpRequest encoded =
+        Codec::Encode(request, OptionsFor(context, stages, position));
+    return std::make_shared<ToChain>(
+        state_, clock_, executor, *context.service,
+        ChainAttemptOptions{
+            .stream = {.request_id = context.request.id,
+                       .address = stages.front().address,
+                       .request = std::move(encoded),
+                       .deadline = context.deadline,
+                       .connect_timeout = relay::kConnectTimeout,
+                       .streams = context.route->streams,
+                       .position = std::move(position)},
+            .stages = stages,
+            .tokens = tokens,
+            .max_silence = relay::kMaxSoundSilence,
+            .shared_parts = context.request.shared_parts});
+  }
+};
+
+}  // namespace sycamoreford
