Send nothing more to an endpoint that has said that it leaves

Callers' requests reached endpoints seconds after a response had said that they leave, from daemons that had passed this response on.

Cause: whether an endpoint leaves was read from its entry in the list alone, and kept in that entry. Responses were not read; a daemon that forwards requests through another one could not even tell which endpoint had responded; an entry that was dropped and listed again started afresh.

Now LeavingEndpoints keeps the runs that are known to leave beside the list, from responses, reports, replies to orders, the list, the response of the daemon that a request was forwarded to, which names the run, and a message of any listed daemon. A run is leaving until it ends: neither the list nor a later response undoes that. Every choice of an endpoint or chain goes by the entry, so first tries, retries, successors, trials and placement all stop; what is running goes on.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -111,15 +111,20 @@
     if (head().load) {
       selector_.OnReportedLoad(destination(), *head().load, clock().Now());
     }
-    if (head().IsTrusted() && head().is_leaving && stage_runs_.front()) {
-      state_.OnLeaving({destination(), *stage_runs_.front()},
-                       LeavingSource::kResponse);
+    if (head().leaving_run) {
+      state_.OnLeaving(*head().leaving_run, LeavingSource::kResponse);
     }
     if (head().IsTrusted()) {
       state_.OnStatedLimit(destination(), head().request_limit, sent_at(),
                            clock().Now());
     }
   }
+  [[nodiscard]] std::optional<EndpointRunId> sender() const override {
+    const auto& started_at_ms = stage_runs_.front();
+    return started_at_ms
+               ? std::optional(EndpointRunId{destination(), *started_at_ms})
+               : std::nullopt;
+  }
   void OnProgress(TimePoint now) override {
     (*registration_)->next_interrupt_at.reset();
     state_.stall_detector().OnProgress(destination(), now);
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -52,7 +52,7 @@
         case AttemptStep::kInterrupted:
           continue;
         case AttemptStep::kStreamBegun:
-          co_await BeginStream(exchange, *attempt, progress);
+          co_await BeginStream(exchange, context, *attempt, progress);
           continue;
         case AttemptStep::kEvents:
           co_await DeliverEvents(exchange, context, *attempt, progress);
@@ -104,6 +104,7 @@
   using Processor::FinalRefusal;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
+  using Processor::MarkLeaving;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
@@ -257,18 +258,21 @@
                                     now - context.arrived_at);
     }
     progress.OnDelivered(now);
-    co_await BeginStream(exchange, attempt, progress);
+    co_await BeginStream(exchange, context, attempt, progress);
     co_await exchange.SendChunk(attempt.events());
   }
 
   /// Sends the head of the response unless one was sent before.
   boost::asio::awaitable<void> BeginStream(HttpExchange& exchange,
+                                           const RequestContext& context,
                                            Attempt& attempt,
                                            StreamProgress& progress) {
     if (!progress.has_begun) {
       progress.has_begun = true;
-      co_await exchange.BeginStream(Codec::EncodeResponse(
-          attempt.call().status(), attempt.call().fields()));
+      HttpResponse response = Codec::EncodeResponse(attempt.call().status(),
+                                                    attempt.call().fields());
+      MarkLeaving(context, attempt.head(), response);
+      co_await exchange.BeginStream(std::move(response));
     }
   }
 
@@ -277,7 +281,7 @@
                                             Attempt& attempt,
                                             StreamProgress& progress) {
     state_.directory().OnSuccess(attempt.destination());
-    co_await BeginStream(exchange, attempt, progress);
+    co_await BeginStream(exchange, context, attempt, progress);
     co_await exchange.EndStream();
     RecordOutcome(context, "answered");
     state_.metrics().OnLongestPause(context.service->name,
@@ -304,6 +308,7 @@
     }
     HttpResponse response =
         Codec::EncodeResponse(attempt.call().status(), attempt.call().fields());
+    MarkLeaving(context, attempt.head(), response);
     response.body = std::move(*body);
     RecordOutcome(context, is_failure ? "endpoint_failed" : "answered");
     co_await exchange.Respond(std::move(response));
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -22,12 +23,15 @@
   std::string request_id;
   /// Id of the endpoint, or the address of another daemon.
   std::string endpoint;
+  /// The run of the endpoint; empty for another daemon.
+  std::optional<EndpointRunId> run{};
   /// Whether the request is sent through another daemon.
   bool is_forwarded = false;
   std::string address;
   /// The request, encoded for this endpoint.
   HttpRequest request;
-  /// Called when the head of the response has arrived.
+  /// Called when the head of the response has arrived, which may be long before
+  /// the attempt ends.
   std::function<void(const ResponseHead&)> on_head;
   TimePoint deadline{};
   std::chrono::milliseconds connect_timeout{0};
@@ -77,6 +81,9 @@
     has_begun_ = true;
     head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
                                       call_.fields());
+    if (!options_.is_forwarded) {
+      head_.SetSender(options_.run);
+    }
     if (options_.on_head) {
       options_.on_head(head_);
     }
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -73,6 +72,7 @@
   using Processor::FinalRefusal;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
+  using Processor::MarkLeaving;
   using Processor::MayBeSent;
   using Processor::MayConnect;
   using Processor::OnLimited;
@@ -175,6 +175,14 @@
     options->deadline = context.deadline;
     options->connect_timeout = relay::kConnectTimeout;
     options->max_response_bytes = relay::kMaxResponseBytes;
+    options->on_head =
+        [this, is_forwarded = options->is_forwarded](const ResponseHead& head) {
+          if (head.leaving_run) {
+            state_.OnLeaving(*head.leaving_run,
+                             is_forwarded ? LeavingSource::kForwardedResponse
+                                          : LeavingSource::kResponse);
+          }
+        };
     context.tried_endpoints.insert(options->endpoint);
     auto attempt = std::make_shared<ToEndpoint>(
         state_.service_selector(), clock_, executor, std::move(*options));
@@ -222,19 +230,9 @@
     forward.time_left = context.TimeLeft(now);
     forward.customer = context.customer;
     return EndpointAttemptOptions{.endpoint = record.id,
+                                  .run = RunOf(record),
                                   .address = record.address,
-                                  .request = Codec::Encode(request, forward),
-                                  .on_head = LeavingReporterFor(record)};
-  }
-
-  /// Returns a function that reports an endpoint if it states that it leaves.
-  std::function<void(const ResponseHead&)> LeavingReporterFor(
-      const EndpointRecord& record) {
-    return [this, run = RunOf(record)](const ResponseHead& head) {
-      if (head.is_leaving && head.IsTrusted()) {
-        state_.OnLeaving(run, LeavingSource::kResponse);
-      }
-    };
+                                  .request = Codec::Encode(request, forward)};
   }
 
   /// Chooses another daemon and counts the send.
@@ -256,6 +254,14 @@
     co_return co_await attempt->Run();
   }
 
+  /// The whole response of an attempt, for the caller or another daemon.
+  static HttpResponse TakeResponse(const RequestContext& context,
+                                   ToEndpoint& attempt) {
+    HttpResponse response = attempt.TakeResponse();
+    MarkLeaving(context, attempt.head(), response);
+    return response;
+  }
+
   /// Removes the attempts that have ended.
   ///
   /// \param error_response set to a response that is returned only if no other
@@ -287,9 +293,9 @@
         RecordOutcome(context, attempt->head().IsServerError()
                                    ? "endpoint_failed"
                                    : "answered");
-        return attempt->TakeResponse();
+        return TakeResponse(context, *attempt);
       }
-      error_response = attempt->TakeResponse();
+      error_response = TakeResponse(context, *attempt);
       RecordFailedSend(context, AttemptStep::kLost, attempt->endpoint());
     }
     return std::nullopt;
--- a/include/sycamoreford/adapters/peer_attempt.h
+++ b/include/sycamoreford/adapters/peer_attempt.h
@@ -58,6 +58,12 @@
   [[nodiscard]] bool is_forwarded() const noexcept override { return true; }
 
  private:
+  void OnHeadDecoded() override {
+    if (Base::head().leaving_run) {
+      state_.OnLeaving(*Base::head().leaving_run,
+                       LeavingSource::kForwardedResponse);
+    }
+  }
   void OnProgress(TimePoint /*now*/) override {
     (*registration_)->next_interrupt_at.reset();
   }
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "sycamoreford/fleet/endpoint_run_id.h"
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/endpoint_limits.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
@@ -20,7 +21,8 @@
 
 /// A message from one daemon to the others: a report about an endpoint, a
 /// report about a suspected prompt part, reports about the limits of endpoints,
-/// or the sender's retry usage, configuration revision and status.
+/// the endpoints that are leaving, or the sender's retry usage, configuration
+/// revision and status.
 struct PeerMessage {
   /// Id of the endpoint; empty if the message carries retry usage.
   std::string endpoint;
@@ -29,6 +31,8 @@
   std::optional<double> slowness;
   std::optional<PromptPartReport> prompt_part;
   std::vector<EndpointLimitReport> limits;
+  /// Runs of endpoints that are leaving.
+  std::vector<EndpointRunId> leaving;
   /// Service that `usage` belongs to.
   std::string service;
   RetryUsage usage;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -16,6 +16,7 @@
 #include "sycamoreford/adapters/fleet_follower.h"
 #include "sycamoreford/adapters/http_client.h"
 #include "sycamoreford/adapters/http_server.h"
+#include "sycamoreford/adapters/leaving_announcer.h"
 #include "sycamoreford/adapters/pause.h"
 #include "sycamoreford/adapters/peer_datagrams.h"
 #include "sycamoreford/adapters/relay_state.h"
@@ -58,7 +59,10 @@
                    address,
                    [this](const PeerMessage& message, const std::string& from) {
                      OnMessage(message, from);
-                   }) {
+                   }),
+        leaving_announcer_(context, [this](const auto& runs) {
+          SendLeaving(roster_.roster().Addresses(clock_.Now()), runs);
+        }) {
     state_.SetPeerNotifier(
         [this](const std::string& endpoint, std::optional<double> slowness) {
           PeerMessage message;
@@ -67,6 +71,9 @@
           datagrams_.Send(roster_.roster().Addresses(clock_.Now()), message);
         });
     state_.SetLimitNotifier([this] { SendDueLimits(); });
+    state_.SetLeavingNotifier([this](const EndpointRunId& run) {
+      leaving_announcer_.Add(run, state_.interval_factor());
+    });
     state_.prompt_guard().SetPeerNotifier([this](const PromptPartReport& it) {
       SendReport(roster_.roster().Addresses(clock_.Now()), it);
     });
@@ -175,6 +182,9 @@
   /// bytes each.
   static constexpr std::size_t kMaxStateBytes = 8UL * 1024 * 1024;
   static constexpr const char* kStatePath = "/state";
+  /// Maximum number of leaving endpoints that a new daemon is told of; the
+  /// store lists most of them as well.
+  static constexpr std::size_t kMaxLeavingInReply = 64;
 
   void SendReport(const std::vector<std::string>& addresses,
                   const PromptPartReport& report) {
@@ -183,6 +193,13 @@
     datagrams_.Send(addresses, message);
   }
 
+  void SendLeaving(const std::vector<std::string>& addresses,
+                   const std::vector<EndpointRunId>& runs) {
+    PeerMessage message;
+    message.leaving = runs;
+    datagrams_.Send(addresses, message);
+  }
+
   void SendDueLimits() {
     const TimePoint now = clock_.Now();
     const auto reports = state_.limits().DueReports(now);
@@ -207,14 +224,35 @@
   /// messages but replies to its own.
   void ReplyToUnlisted(const std::string& from) {
     const TimePoint now = clock_.Now();
-    const auto listed = roster_.roster().Addresses(now);
-    if (std::find(listed.begin(), listed.end(), from) != listed.end()) {
+    if (IsListed(from)) {
       return;
     }
     for (const auto& report : state_.prompt_guard().QuarantineReports(now)) {
       SendReport({from}, report);
     }
     SendLimits({from}, state_.limits().Reports(now));
+    for (const EndpointRunId& run :
+         state_.directory().leaving().Latest(kMaxLeavingInReply)) {
+      SendLeaving({from}, {run});
+    }
+  }
+
+  [[nodiscard]] bool IsListed(const std::string& address) const {
+    const auto listed = roster_.roster().Addresses(clock_.Now());
+    return std::find(listed.begin(), listed.end(), address) != listed.end();
+  }
+
+  /// An endpoint that is wrongly believed to be leaving is lost, so only listed
+  /// daemons are believed.
+  void OnLeaving(const std::vector<EndpointRunId>& runs,
+                 const std::string& from) {
+    if (!IsListed(from)) {
+      return;
+    }
+    for (const EndpointRunId& run : runs) {
+      leaving_announcer_.OnTold(run);
+      state_.OnLeaving(run, LeavingSource::kPeer);
+    }
   }
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
@@ -228,6 +266,10 @@
       }
       return;
     }
+    if (!message.leaving.empty()) {
+      OnLeaving(message.leaving, from);
+      return;
+    }
     if (message.slowness) {
       // Not forwarded: the daemon that received the endpoint's report has
       // already sent it to all others.
@@ -286,6 +328,7 @@
   Decoder decode_;
   std::function<PeerStatus(const std::string&)> status_;
   PeerDatagrams datagrams_;
+  LeavingAnnouncer leaving_announcer_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -15,7 +15,6 @@
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_directory.h"
 #include "sycamoreford/fleet/isolation_detector.h"
-#include "sycamoreford/fleet/leaving_endpoints.h"
 #include "sycamoreford/fleet/leaving_source.h"
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/chain_selector.h"
@@ -174,7 +173,14 @@
     notify_limits_ = std::move(notify);
   }
 
-  /// Called when a run of an endpoint is known to be leaving.
+  /// Sets the function that tells other daemons that an endpoint is leaving.
+  void SetLeavingNotifier(std::function<void(const EndpointRunId&)> notify) {
+    notify_leaving_ = std::move(notify);
+  }
+
+  /// Called when a run of an endpoint is known to be leaving. It gets no
+  /// further requests; the other daemons are told unless one of them told this
+  /// one.
   void OnLeaving(const EndpointRunId& run, LeavingSource source);
 
   /// Called for each response of an endpoint.
@@ -230,7 +236,6 @@
   RetryLimits retry_limits_;
   std::shared_ptr<const Manifest> manifest_;
   EndpointDirectory directory_;
-  LeavingEndpoints leaving_;
   ServiceSelector service_selector_;
   ChainStallDetector stall_detector_;
   PromptGuard prompt_guard_;
@@ -246,6 +251,7 @@
   std::function<void(std::string)> inspect_;
   std::function<void(const std::string&, std::optional<double>)> notify_peers_;
   std::function<void()> notify_limits_;
+  std::function<void(const EndpointRunId&)> notify_leaving_;
 };
 
 /// The accelerators that can run layers of a service.
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -170,6 +170,16 @@
     return Codec::EncodeForPeer(request, forward);
   }
 
+  /// Tells the daemon that forwarded a request, if one did, that the endpoint
+  /// with this response is leaving.
+  static void MarkLeaving(const RequestContext& context,
+                          const ResponseHead& head,
+                          HttpResponse& response) {
+    if (context.is_from_peer && head.leaving_run) {
+      Codec::MarkLeaving(response, *head.leaving_run);
+    }
+  }
+
   /// Counts a send. If the request was sent before, acquires a retry from the
   /// retry budget.
   ///
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -155,6 +155,11 @@
   virtual void OnSent() {}
   /// Called when the head of the response has arrived.
   virtual void OnHeadDecoded() {}
+  /// The run of the endpoint that the request was sent to; empty if it is not
+  /// known.
+  [[nodiscard]] virtual std::optional<EndpointRunId> sender() const {
+    return std::nullopt;
+  }
   /// Called when any part of the response has arrived.
   virtual void OnProgress(TimePoint /*now*/) {}
   /// Called when complete events have arrived.
@@ -214,6 +219,9 @@
     NoteProgress();
     head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
                                       call_.fields());
+    if (!is_forwarded()) {
+      head_.SetSender(sender());
+    }
     if (is_in_flight()) {
       OnHeadDecoded();
     }
--- a/include/sycamoreford/fleet/endpoint_directory.h
+++ b/include/sycamoreford/fleet/endpoint_directory.h
@@ -10,6 +10,7 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_record.h"
+#include "sycamoreford/fleet/leaving_endpoints.h"
 
 namespace sycamoreford {
 
@@ -38,8 +39,9 @@
 ///
 /// A removal takes effect at once, except right after the list was unreachable:
 /// announcements that expired during the outage are renewed within a bounded
-/// time, and dropping all endpoints until then would stop the service. An
-/// endpoint that is known to be leaving remains so until it restarts.
+/// time, and dropping all endpoints until then would stop the service. A run of
+/// an endpoint that is known to be leaving remains so, also if it is dropped
+/// and announced as sound again.
 ///
 /// Thread safety: none.
 class EndpointDirectory {
@@ -60,7 +62,8 @@
                TimePoint now,
                Duration grace);
 
-  /// Drops endpoints whose grace period has ended.
+  /// Drops endpoints whose grace period has ended, and forgets runs that left
+  /// long ago.
   ///
   /// \returns whether any was dropped.
   bool Expire(TimePoint now);
@@ -83,8 +86,14 @@
   /// The endpoint responded to a request.
   void OnSuccess(std::string_view id);
 
-  /// The endpoint reported that it is leaving.
-  void OnLeaving(std::string_view id);
+  /// A run of an endpoint, which need not be listed, is leaving.
+  ///
+  /// \returns whether this was not known.
+  bool OnLeaving(const EndpointRunId& run);
+
+  [[nodiscard]] const LeavingEndpoints& leaving() const noexcept {
+    return leaving_;
+  }
 
   /// The endpoint reported the layers that it holds; the list may show them
   /// later. Precondition: the report is newer than the list.
@@ -100,6 +109,7 @@
 
  private:
   Map endpoints_;
+  LeavingEndpoints leaving_;
   std::uint64_t version_ = 1;
 };
 
--- a/include/sycamoreford/relay/relay_codec.h
+++ b/include/sycamoreford/relay/relay_codec.h
@@ -19,6 +19,7 @@
                               const std::string& id,
                               const HttpFields& fields,
                               const PeerForward& forward,
+                              const EndpointRunId& run,
                               HttpResponse& response,
                               std::chrono::milliseconds retry_after) {
   { T::Decode(request) } -> std::same_as<Result<RelayRequest>>;
@@ -34,6 +35,8 @@
   { T::DecodeFromPeer(request) } -> std::same_as<std::optional<PeerForward>>;
   // Tells the daemon that forwarded a request that it has not run.
   { T::MarkNotRun(response) } -> std::same_as<void>;
+  // Tells the daemon that forwarded a request which endpoint is leaving.
+  { T::MarkLeaving(response, run) } -> std::same_as<void>;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "sycamoreford/core/strong_id.h"
+#include "sycamoreford/fleet/endpoint_run_id.h"
 #include "sycamoreford/relay/reported_load.h"
 #include "sycamoreford/route/chain.h"
 
@@ -80,9 +81,19 @@
   /// Requests per second that the endpoint accepts from all daemons together;
   /// empty if it states no limit.
   std::optional<double> request_limit;
-  /// Whether the endpoint states that it will stop soon. Holds for the endpoint
-  /// that was meant only if `IsTrusted`.
+  /// Whether the response states that the endpoint will stop soon.
+  /// `leaving_run` tells whether that is believed.
   bool is_leaving = false;
+  /// The run of an endpoint that is leaving. As decoded, it is what another
+  /// daemon states of the endpoint whose response it forwards.
+  std::optional<EndpointRunId> leaving_run;
+
+  /// Sets `leaving_run` for a response that comes from an endpoint itself.
+  ///
+  /// \param run the run that the request was sent to; empty if not known.
+  void SetSender(const std::optional<EndpointRunId>& run) {
+    leaving_run = is_leaving && IsTrusted() ? run : std::nullopt;
+  }
 
   [[nodiscard]] bool IsServerError() const noexcept {
     constexpr unsigned kFirstServerError = 500;
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -115,6 +115,19 @@
   return array;
 }
 
+json::array ToJson(const std::vector<EndpointRunId>& runs) {
+  json::array array;
+  for (const EndpointRunId& run : runs) {
+    array.push_back({{"endpoint", run.id}, {"start", run.started_at_ms}});
+  }
+  return array;
+}
+
+EndpointRunId ToRunId(const json::object& object) {
+  return {json::value_to<std::string>(object.at("endpoint")),
+          object.at("start").to_number<std::uint64_t>()};
+}
+
 EndpointLimitReport ToLimitReport(const json::object& object) {
   EndpointLimitReport report;
   report.endpoint = json::value_to<std::string>(object.at("endpoint"));
@@ -134,6 +147,8 @@
     object = ToJson(*prompt_part);
   } else if (!limits.empty()) {
     object["limits"] = ToJson(limits);
+  } else if (!leaving.empty()) {
+    object["leaving"] = ToJson(leaving);
   } else if (!endpoint.empty()) {
     object["trouble"] = endpoint;
     if (slowness) {
@@ -168,6 +183,12 @@
       }
       return message;
     }
+    if (const json::value* leaving = object.if_contains("leaving")) {
+      for (const json::value& run : leaving->as_array()) {
+        message.leaving.push_back(ToRunId(run.as_object()));
+      }
+      return message;
+    }
     if (const json::value* trouble = object.if_contains("trouble")) {
       message.endpoint = json::value_to<std::string>(*trouble);
       if (const json::value* slowness = object.if_contains("slowness")) {
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -212,7 +212,7 @@
 }
 
 void RelayState::OnLeaving(const EndpointRunId& run, LeavingSource source) {
-  if (!leaving_.Add(run)) {
+  if (!directory_.OnLeaving(run)) {
     return;
   }
   metrics_.OnLeaving(ToString(source));
@@ -220,6 +220,9 @@
       .With("endpoint", run.id)
       .With("started_at_ms", run.started_at_ms)
       .With("source", ToString(source));
+  if (notify_leaving_ && source != LeavingSource::kPeer) {
+    notify_leaving_(run);
+  }
 }
 
 void RelayState::OnStatedLimit(const std::string& id,
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -30,6 +30,10 @@
 }  // namespace
 
 void EndpointDirectory::Upsert(EndpointRecord record) {
+  if (record.is_leaving) {
+    leaving_.Add(RunOf(record));
+  }
+  record.is_leaving = record.is_leaving || leaving_.Contains(RunOf(record));
   const auto [entry, is_new] = endpoints_.try_emplace(record.id);
   KnownEndpoint& known = entry->second;
   if (!is_new && IsSameRun(known.record, record)) {
@@ -84,6 +88,10 @@
     return entry.second.drop_at && now >= *entry.second.drop_at;
   });
   version_ += dropped > 0 ? 1 : 0;
+  leaving_.Expire(now, [&](const EndpointRunId& run) {
+    const KnownEndpoint* known = Find(run.id);
+    return known != nullptr && RunOf(known->record) == run;
+  });
   return dropped > 0;
 }
 
@@ -143,12 +151,15 @@
   }
 }
 
-void EndpointDirectory::OnLeaving(std::string_view id) {
-  const auto found = endpoints_.find(id);
-  if (found != endpoints_.end() && !found->second.record.is_leaving) {
+bool EndpointDirectory::OnLeaving(const EndpointRunId& run) {
+  const bool is_news = leaving_.Add(run);
+  const auto found = endpoints_.find(run.id);
+  if (found != endpoints_.end() && RunOf(found->second.record) == run &&
+      !found->second.record.is_leaving) {
     found->second.record.is_leaving = true;
     ++version_;
   }
+  return is_news;
 }
 
 void EndpointDirectory::OnLayers(std::string_view id, LayerRange layers) {
--- /dev/null
+++ b/tests/leaving_endpoints_test.cc
@@ -0,0 +1,167 @@
+// What daemons remember and tell each other of endpoints that leave.
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "sycamoreford/adapters/leaving_announcer.h"
+#include "sycamoreford/adapters/peer_datagrams.h"
+#include "sycamoreford/fleet/endpoint_directory.h"
+#include "sycamoreford/fleet/leaving_endpoints.h"
+
+namespace sycamoreford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+EndpointRecord Record(const std::string& id, std::uint64_t started_at_ms) {
+  EndpointRecord record;
+  record.id = id;
+  record.service = "s";
+  record.address = "10.0.0.1:1";
+  record.started_at_ms = started_at_ms;
+  return record;
+}
+
+TEST_CASE("a run of an endpoint that leaves") {
+  EndpointDirectory directory;
+  directory.Upsert(Record("a", 1));
+  const auto is_usable = [&] {
+    const KnownEndpoint* known = directory.Find("a");
+    return known != nullptr && known->IsUsable(kStart);
+  };
+  REQUIRE(is_usable());
+  const auto version = directory.version();
+  REQUIRE(directory.OnLeaving({"a", 1}));
+
+  SECTION("is not used any more") {
+    CHECK_FALSE(is_usable());
+    CHECK(directory.version() != version);
+    CHECK_FALSE(directory.OnLeaving({"a", 1}));
+  }
+  SECTION("is not used although the list says that it is sound") {
+    directory.Upsert(Record("a", 1));
+    CHECK_FALSE(is_usable());
+    directory.Remove("a", kStart, Duration::zero());
+    directory.Upsert(Record("a", 1));
+    CHECK_FALSE(is_usable());
+    directory.Replace({}, kStart, Duration::zero());
+    directory.Replace({Record("a", 1)}, kStart, Duration::zero());
+    CHECK_FALSE(is_usable());
+  }
+  SECTION("is not used after it has moved to another address") {
+    EndpointRecord moved = Record("a", 1);
+    moved.address = "10.0.0.2:1";
+    directory.Upsert(moved);
+    CHECK_FALSE(is_usable());
+  }
+  SECTION("does not speak for the next one, nor that one for it") {
+    directory.Upsert(Record("a", 2));
+    CHECK(is_usable());
+    CHECK_FALSE(directory.OnLeaving({"a", 1}));
+    CHECK(is_usable());
+    directory.Upsert(Record("a", 1));
+    CHECK_FALSE(is_usable());
+  }
+  SECTION("is known before it is listed") {
+    CHECK(directory.OnLeaving({"b", 7}));
+    directory.Upsert(Record("b", 7));
+    CHECK_FALSE(directory.Find("b")->IsUsable(kStart));
+  }
+  SECTION("is also known from the list") {
+    EndpointRecord listed = Record("b", 7);
+    listed.is_leaving = true;
+    directory.Upsert(listed);
+    directory.Remove("b", kStart, Duration::zero());
+    directory.Upsert(Record("b", 7));
+    CHECK_FALSE(directory.Find("b")->IsUsable(kStart));
+  }
+}
+
+TEST_CASE("what is remembered of leaving endpoints is bounded") {
+  LeavingEndpoints leaving;
+  SECTION("in number") {
+    for (std::uint64_t i = 0; i <= LeavingEndpoints::kMaxRuns; ++i) {
+      CHECK(leaving.Add({"e", i}));
+    }
+    CHECK(leaving.size() == LeavingEndpoints::kMaxRuns);
+    CHECK_FALSE(leaving.Contains({"e", 0}));
+    CHECK(leaving.Contains({"e", 1}));
+    CHECK(leaving.Latest(2) ==
+          std::vector<EndpointRunId>{{"e", LeavingEndpoints::kMaxRuns},
+                                     {"e", LeavingEndpoints::kMaxRuns - 1}});
+  }
+  SECTION("in time, from when the run is no longer listed") {
+    leaving.Add({"e", 1});
+    bool is_listed = true;
+    const auto check = [&](const EndpointRunId&) { return is_listed; };
+    leaving.Expire(kStart, check);
+    leaving.Expire(kStart + minutes(60), check);
+    is_listed = false;
+    const TimePoint unlisted = kStart + minutes(61);
+    leaving.Expire(unlisted, check);
+    leaving.Expire(unlisted + LeavingEndpoints::kMemory - seconds(1), check);
+    CHECK(leaving.Contains({"e", 1}));
+    leaving.Expire(unlisted + LeavingEndpoints::kMemory, check);
+    CHECK_FALSE(leaving.Contains({"e", 1}));
+  }
+}
+
+TEST_CASE("a message about leaving endpoints") {
+  PeerMessage message;
+  for (std::uint64_t i = 0; i < LeavingAnnouncer::kRunsPerMessage; ++i) {
+    message.leaving.push_back(
+        {"i-0123456789abcdef0123456789abcdef", 1'790'000'000'000 + i});
+  }
+  const std::string text = message.ToText();
+  CHECK(text.size() <= 512);
+  const auto parsed = PeerMessage::Parse(text);
+  REQUIRE(parsed);
+  CHECK(parsed->leaving == message.leaving);
+  CHECK_FALSE(PeerMessage::Parse(R"({"leaving":[{"endpoint":"a"}]})"));
+  CHECK_FALSE(PeerMessage::Parse(R"({"leaving":3})"));
+}
+
+TEST_CASE("few daemons tell of endpoints of which all learn at once") {
+  constexpr std::size_t kDaemons = 390;
+  constexpr std::uint32_t kIntervalFactor = 1 + kDaemons / 20;
+  constexpr std::uint64_t kEndpoints = 20;
+  constexpr milliseconds kLatency{2};
+  boost::asio::io_context context;
+  std::vector<std::unique_ptr<LeavingAnnouncer>> daemons;
+  std::size_t messages = 0;
+  const auto deliver =
+      [&](std::vector<EndpointRunId> runs) -> boost::asio::awaitable<void> {
+    co_await Pause(kLatency);
+    for (const auto& daemon : daemons) {
+      for (const EndpointRunId& run : runs) {
+        daemon->OnTold(run);
+      }
+    }
+  };
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    daemons.push_back(std::make_unique<LeavingAnnouncer>(
+        context, [&](const std::vector<EndpointRunId>& runs) {
+          ++messages;
+          boost::asio::co_spawn(context, deliver(runs), boost::asio::detached);
+        }));
+  }
+  for (const auto& daemon : daemons) {
+    for (std::uint64_t run = 0; run < kEndpoints; ++run) {
+      daemon->Add({"e", run}, kIntervalFactor);
+    }
+  }
+  context.run_for(milliseconds(1'500));
+  // One daemon's messages suffice; some others have sent theirs before.
+  CHECK(messages >= kEndpoints / LeavingAnnouncer::kRunsPerMessage);
+  CHECK(messages <= 8 * kEndpoints / LeavingAnnouncer::kRunsPerMessage);
+}
+
+}  // namespace
+}  // namespace sycamoreford
