--- a/src/fleet/leaving_endpoints.cc
+++ b/src/fleet/leaving_endpoints.cc
@@ -49,6 +49,7 @@
   std::sort(numbered.rbegin(), numbered.rend());
   numbered.resize(std::min(numbered.size(), max_count));
   std::vector<EndpointRunId> runs;
+  runs.reserve(numbered.size());
   for (auto& [number, run] : numbered) {
     runs.push_back(std::move(run));
   }
