--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -15,6 +15,7 @@
 #include "sycamoreford/adapters/chain_forwarder.h"
 #include "sycamoreford/adapters/endpoint_forwarder.h"
 #include "sycamoreford/adapters/request_processor.h"
+#include "sycamoreford/relay/request_fingerprint.h"
 
 namespace sycamoreford {
 
@@ -152,6 +153,7 @@
       context.customer = customer->name;
       context.priority = customer->priority.value_or(context.priority);
     }
+    context.fingerprint = FingerprintOf(context.request, context.customer);
     const auto caller_timeout =
         context.request.caller_timeout.value_or(context.route->time_limit);
     context.deadline = context.arrived_at +
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "sycamoreford/core/clock.h"
+#include "sycamoreford/core/strong_id.h"
 #include "sycamoreford/relay/manifest.h"
 #include "sycamoreford/relay/relay_request.h"
 
@@ -49,6 +50,7 @@
   const RelayRoute* route = nullptr;
   const RelayService* service = nullptr;
   std::string customer;
+  RequestFingerprint fingerprint;
   std::uint32_t priority = 0;
   TimePoint arrived_at{};
   /// End of the time limit of the caller or the route, whichever is earlier.
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -249,6 +249,7 @@
         .With("begun", has_begun ? "yes" : "no")
         .With("events", events)
         .With("shared_parts", ToString(context.request.shared_parts))
+        .With("fingerprint", ToString(context.fingerprint))
         .With("sends", context.sends)
         .With("after_ms", Elapsed(context));
   }
--- a/include/sycamoreford/core/strong_id.h
+++ b/include/sycamoreford/core/strong_id.h
@@ -45,6 +45,9 @@
 using FencingToken = StrongId<struct FencingTokenTag, std::uint64_t>;
 /// Identifier of a part of a prompt that several requests may share.
 using PromptPartId = StrongId<struct PromptPartIdTag, std::uint64_t>;
+/// Hash of what makes up a request; the same whenever the request comes again.
+using RequestFingerprint =
+    StrongId<struct RequestFingerprintTag, std::uint64_t>;
 /// Index of a token in an answer; the first is 0.
 using TokenPosition = StrongId<struct TokenPositionTag, std::uint32_t>;
 
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -34,6 +34,8 @@
   std::vector<PromptPartId> shared_parts;
   /// Id of the last event that the caller received; empty for a new stream.
   std::string last_event_id;
+  /// Hash of the method, path, query, model, prompt and body.
+  std::uint64_t content_hash = 0;
 };
 
 /// Parameters for sending a request to an endpoint.
@@ -136,6 +138,9 @@
 /// Formats the ids of prompt parts for logs: hexadecimal, separated by commas.
 [[nodiscard]] std::string ToString(const std::vector<PromptPartId>& parts);
 
+/// Formats a fingerprint for logs: hexadecimal.
+[[nodiscard]] std::string ToString(RequestFingerprint fingerprint);
+
 /// Whether a refusal proves that the request has not run.
 [[nodiscard]] bool IsNotRun(Refusal refusal) noexcept;
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -36,6 +36,12 @@
   return refusal != Refusal::kAnswerLost && refusal != Refusal::kTimedOut;
 }
 
+std::string ToString(RequestFingerprint fingerprint) {
+  std::ostringstream text;
+  text << std::hex << fingerprint.value();
+  return text.str();
+}
+
 std::string ToString(const std::vector<PromptPartId>& parts) {
   std::ostringstream text;
   text << std::hex;
