--- a/tests/fakes/crashing_endpoint.h
+++ b/tests/fakes/crashing_endpoint.h
@@ -24,16 +24,19 @@
 
 namespace sycamoreford::fakes {
 
-/// An endpoint that streams events, and crashes shortly after it has begun a
-/// response to a request that contains a certain prompt part. A crash resets
-/// all of its connections; it accepts new ones after a while.
+/// An endpoint that streams events to requests for `/stream/…` and responds to
+/// others as a whole, and crashes shortly after it has begun to run a certain
+/// request. A crash resets all of its connections; it accepts new ones after a
+/// while.
 ///
 /// Thread safety: none; used on the thread that runs the context.
 class CrashingEndpoint {
  public:
   using Time = std::chrono::steady_clock::time_point;
 
-  /// When one of the requests with the part arrived.
+  using Message = boost::beast::http::request<boost::beast::http::string_body>;
+
+  /// When one of the requests that crash it arrived.
   struct Arrival {
     Time at;
     std::string request_id;
@@ -42,28 +45,35 @@
   /// Events of each stream, and the time between two of them.
   static constexpr int kEvents = 7;
   static constexpr std::chrono::milliseconds kEventInterval{100};
-  /// Time from the begin of the response to the crash.
+  /// Time in which other requests have a response.
+  static constexpr std::chrono::milliseconds kResponseTime{20};
+  /// Time from the begin of a run to the crash.
   static constexpr std::chrono::milliseconds kTimeToCrash{70};
-  static constexpr std::chrono::milliseconds kRestartTime{600};
 
   /// Listens on a free port of the loopback interface.
   ///
-  /// \param part id of the prompt part under which it crashes.
+  /// \param crashes whether a request crashes it.
   /// \param on_restart called when it accepts connections again.
   CrashingEndpoint(boost::asio::io_context& context,
-                   std::string part,
+                   std::function<bool(const Message&)> crashes,
                    std::function<void()> on_restart)
       : context_(context),
-        part_(std::move(part)),
+        crashes_under_(std::move(crashes)),
         on_restart_(std::move(on_restart)) {
     Listen({boost::asio::ip::address_v4::loopback(), 0});
     address_ = acceptor_->local_endpoint();
   }
 
+  /// Crashes without a reason of its requests. Precondition: it is running.
+  void Kill() { Crash(); }
+
+  /// Time from a crash until it accepts connections again.
+  std::chrono::milliseconds restart_time{600};
+
   [[nodiscard]] std::string address() const {
     return impl::ToAddress(address_);
   }
-  /// Requests with the part, in the order of arrival.
+  /// Requests that crash it, in the order of arrival.
   [[nodiscard]] const std::vector<Arrival>& arrivals() const {
     return arrivals_;
   }
@@ -71,7 +81,6 @@
 
  private:
   using Socket = boost::asio::ip::tcp::socket;
-  using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
   void Listen(const boost::asio::ip::tcp::endpoint& address) {
     acceptor_.emplace(context_, address);
@@ -103,19 +112,25 @@
       co_return;
     }
     sockets_.insert(socket);
-    if (std::string(request["X-Prompt-Prefix"]).find(part_) !=
-        std::string::npos) {
-      co_await BeginAndCrash(*socket, request);
-    } else {
+    const bool streams = std::string(request.target()).starts_with("/stream");
+    if (crashes_under_(request)) {
+      co_await BeginAndCrash(*socket, request, streams);
+    } else if (streams) {
       co_await Stream(*socket, request);
+    } else {
+      co_await Pause(kResponseTime);
+      co_await Send(*socket, Status(request) + "Content-Length: 4\r\n\r\nbody");
     }
     sockets_.erase(socket);
   }
 
-  static std::string Head(const Message& request) {
+  static std::string Status(const Message& request) {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
-           std::string(request["X-Attempt-Id"]) +
-           "\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+           std::string(request["X-Attempt-Id"]) + "\r\nX-Response-Seal: s\r\n";
+  }
+  static std::string Head(const Message& request) {
+    return Status(request) +
+           "Content-Type: text/event-stream\r\n"
            "Transfer-Encoding: chunked\r\n\r\n";
   }
 
@@ -129,10 +144,13 @@
   }
 
   boost::asio::awaitable<void> BeginAndCrash(Socket& socket,
-                                             const Message& request) {
+                                             const Message& request,
+                                             bool streams) {
     arrivals_.push_back({std::chrono::steady_clock::now(),
                          std::string(request["X-Attempt-Id"])});
-    co_await Send(socket, Head(request));
+    if (streams) {
+      co_await Send(socket, Head(request));
+    }
     co_await Pause(kTimeToCrash);
     if (socket.is_open()) {
       Crash();
@@ -165,13 +183,13 @@
   }
 
   boost::asio::awaitable<void> Restart() {
-    co_await Pause(kRestartTime);
+    co_await Pause(restart_time);
     Listen(address_);
     on_restart_();
   }
 
   boost::asio::io_context& context_;
-  std::string part_;
+  std::function<bool(const Message&)> crashes_under_;
   std::function<void()> on_restart_;
   std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
   boost::asio::ip::tcp::endpoint address_;
--- a/tests/prompt_quarantine_path_test.cc
+++ b/tests/prompt_quarantine_path_test.cc
@@ -54,13 +54,18 @@
       .Build();
 }
 
+bool HasCulprit(const CrashingEndpoint::Message& request) {
+  return std::string(request["X-Prompt-Prefix"]).find(kCulprit) !=
+         std::string::npos;
+}
+
 /// Endpoints of one model in three data centres, and relays in front of them.
 class Deployment {
  public:
   Deployment() : runs_(kEndpoints, 1) {
     for (std::size_t i = 0; i < kEndpoints; ++i) {
       endpoints_.push_back(
-          std::make_unique<CrashingEndpoint>(context_, kCulprit, [this, i] {
+          std::make_unique<CrashingEndpoint>(context_, HasCulprit, [this, i] {
             ++runs_[i];
             for (const auto& daemon : daemons_) {
               Announce(*daemon, i);
