Name the quarantine after requests instead of prompts

Only renames, and moves CrashWatch into a file of its own: the quarantine is about to judge requests as a whole as well. What leaves the process keeps its name.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/relay_state.h"
 #include "sycamoreford/adapters/stream_attempt.h"
 
@@ -52,10 +53,10 @@
         stages_(std::move(options.stages)),
         tokens_(options.tokens),
         max_silence_(options.max_silence),
-        prompt_watch_(state.prompt_guard(),
-                      std::move(options.shared_parts),
-                      destination(),
-                      PromptGuard::RunOf(state.directory(), destination())) {
+        crash_watch_(state.quarantine(),
+                     std::move(options.shared_parts),
+                     destination(),
+                     QuarantineGuard::RunOf(state.directory(), destination())) {
     for (const ChainStage& stage : stages_) {
       stage_runs_.push_back(RunOf(stage));
     }
@@ -91,7 +92,7 @@
       OnRefusal();
     } else if (step == AttemptStep::kLost &&
                Base::failure().code == Errc::kConnectionLost) {
-      prompt_watch_.OnConnectionLost(clock().Now());
+      crash_watch_.OnConnectionLost(clock().Now());
     }
   }
 
@@ -129,8 +130,8 @@
     (*registration_)->next_interrupt_at.reset();
     state_.stall_detector().OnProgress(destination(), now);
   }
-  void OnEvents() override { prompt_watch_.OnEvents(clock().Now()); }
-  void OnComplete() override { prompt_watch_.OnComplete(clock().Now()); }
+  void OnEvents() override { crash_watch_.OnEvents(clock().Now()); }
+  void OnComplete() override { crash_watch_.OnComplete(clock().Now()); }
 
   /// The chain has refused the request. If the response names the faulty stage,
   /// that endpoint is not used for a while.
@@ -185,7 +186,7 @@
   Chain stages_;
   double tokens_;
   std::chrono::milliseconds max_silence_;
-  PromptWatch prompt_watch_;
+  CrashWatch crash_watch_;
   /// Empty when the attempt no longer counts as in flight.
   std::optional<std::list<ActiveAttempt>::iterator> registration_;
   /// Start of the run of each stage when the request was sent.
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -14,6 +14,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "sycamoreford/adapters/background_task.h"
+#include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/endpoint_attempt.h"
 #include "sycamoreford/adapters/request_processor.h"
 #include "sycamoreford/adapters/wake_signal.h"
@@ -287,7 +288,7 @@
       }
       state_.directory().OnSuccess(attempt->endpoint());
       if (!attempt->head().IsServerError()) {
-        PromptWatchFor(context, *attempt).OnComplete(clock_.Now());
+        CrashWatchFor(context, *attempt).OnComplete(clock_.Now());
       }
       if (!attempt->head().IsServerError() || !context.MayRunAgain()) {
         RecordOutcome(context, attempt->head().IsServerError()
@@ -317,11 +318,11 @@
     }
   }
 
-  [[nodiscard]] PromptWatch PromptWatchFor(const RequestContext& context,
-                                           const ToEndpoint& attempt) {
-    return {state_.prompt_guard(), context.request.shared_parts,
+  [[nodiscard]] CrashWatch CrashWatchFor(const RequestContext& context,
+                                         const ToEndpoint& attempt) {
+    return {state_.quarantine(), context.request.shared_parts,
             attempt.endpoint(),
-            PromptGuard::RunOf(state_.directory(), attempt.endpoint())};
+            QuarantineGuard::RunOf(state_.directory(), attempt.endpoint())};
   }
 
   /// Called when a request was sent through another daemon in vain.
@@ -358,7 +359,7 @@
       LogResponseLost(context, attempt.endpoint(), attempt.failure(),
                       attempt.has_begun());
       if (attempt.failure().code == Errc::kConnectionLost) {
-        PromptWatchFor(context, attempt).OnConnectionLost(clock_.Now());
+        CrashWatchFor(context, attempt).OnConnectionLost(clock_.Now());
       }
     }
   }
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -15,7 +15,7 @@
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/endpoint_limits.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
-#include "sycamoreford/relay/prompt_quarantine.h"
+#include "sycamoreford/relay/request_quarantine.h"
 
 namespace sycamoreford {
 
@@ -29,7 +29,7 @@
   /// Slowness that the endpoint reported; empty if the endpoint is suspected of
   /// another fault.
   std::optional<double> slowness;
-  std::optional<PromptPartReport> prompt_part;
+  std::optional<TraitReport> prompt_part;
   std::vector<EndpointLimitReport> limits;
   /// Runs of endpoints that are leaving.
   std::vector<EndpointRunId> leaving;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -74,7 +74,7 @@
     state_.SetLeavingNotifier([this](const EndpointRunId& run) {
       leaving_announcer_.Add(run, state_.interval_factor());
     });
-    state_.prompt_guard().SetPeerNotifier([this](const PromptPartReport& it) {
+    state_.quarantine().SetPeerNotifier([this](const TraitReport& it) {
       SendReport(roster_.roster().Addresses(clock_.Now()), it);
     });
   }
@@ -117,7 +117,7 @@
         }
         datagrams_.Send(addresses, message);
       }
-      for (const auto& report : state_.prompt_guard().DueReports(now)) {
+      for (const auto& report : state_.quarantine().DueReports(now)) {
         SendReport(addresses, report);
       }
     }
@@ -187,7 +187,7 @@
   static constexpr std::size_t kMaxLeavingInReply = 64;
 
   void SendReport(const std::vector<std::string>& addresses,
-                  const PromptPartReport& report) {
+                  const TraitReport& report) {
     PeerMessage message;
     message.prompt_part = report;
     datagrams_.Send(addresses, message);
@@ -227,7 +227,7 @@
     if (IsListed(from)) {
       return;
     }
-    for (const auto& report : state_.prompt_guard().QuarantineReports(now)) {
+    for (const auto& report : state_.quarantine().QuarantineReports(now)) {
       SendReport({from}, report);
     }
     SendLimits({from}, state_.limits().Reports(now));
@@ -257,7 +257,7 @@
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
     if (message.prompt_part) {
-      state_.prompt_guard().OnReport(*message.prompt_part, clock_.Now());
+      state_.quarantine().OnReport(*message.prompt_part, clock_.Now());
       return;
     }
     if (!message.limits.empty()) {
--- a/include/sycamoreford/adapters/prompt_guard.h
+++ b/include/sycamoreford/adapters/quarantine_guard.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "sycamoreford/fleet/endpoint_directory.h"
-#include "sycamoreford/relay/prompt_quarantine.h"
+#include "sycamoreford/relay/request_quarantine.h"
 
 namespace sycamoreford {
 
@@ -17,18 +17,19 @@
 /// daemons: news at once, and repeatedly in case a message was lost.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
-class PromptGuard {
+class QuarantineGuard {
  public:
-  using Notifier = std::function<void(const PromptPartReport&)>;
+  using Notifier = std::function<void(const TraitReport&)>;
 
   /// Sets the function that sends a report to the other daemons.
   void SetPeerNotifier(Notifier notify) { notify_peers_ = std::move(notify); }
 
-  /// As `PromptQuarantine::OnRequest`.
-  [[nodiscard]] PromptVerdict OnRequest(const std::vector<PromptPartId>& parts,
-                                        TimePoint now,
-                                        std::size_t rank);
-  /// As `PromptQuarantine::IsQuarantined`.
+  /// As `RequestQuarantine::OnRequest`.
+  [[nodiscard]] QuarantineVerdict OnRequest(
+      const std::vector<PromptPartId>& parts,
+      TimePoint now,
+      std::size_t rank);
+  /// As `RequestQuarantine::IsQuarantined`.
   [[nodiscard]] bool IsQuarantined(
       const std::vector<PromptPartId>& parts) const {
     return quarantine_.IsQuarantined(parts);
@@ -39,20 +40,19 @@
                const std::string& endpoint,
                EndpointRun run,
                TimePoint now);
-  /// As `PromptQuarantine::OnSound`.
+  /// As `RequestQuarantine::OnSound`.
   void OnSound(const std::vector<PromptPartId>& parts,
                TimePoint first_event_at,
                TimePoint now);
   /// Merges a report of another daemon.
-  void OnReport(const PromptPartReport& report, TimePoint now);
+  void OnReport(const TraitReport& report, TimePoint now);
 
   /// Drops what is no longer needed, and returns the reports that are to be
   /// sent to the other daemons with the next status message.
-  [[nodiscard]] std::vector<PromptPartReport> DueReports(TimePoint now);
+  [[nodiscard]] std::vector<TraitReport> DueReports(TimePoint now);
 
   /// Reports on all quarantined parts, for a daemon that has just started.
-  [[nodiscard]] std::vector<PromptPartReport> QuarantineReports(
-      TimePoint now) const;
+  [[nodiscard]] std::vector<TraitReport> QuarantineReports(TimePoint now) const;
 
   /// Number of quarantined parts.
   [[nodiscard]] std::size_t quarantined_count() const;
@@ -77,7 +77,7 @@
   void TellNews(const std::vector<PromptPartId>& parts, TimePoint now);
   void LogChanges();
 
-  PromptQuarantine quarantine_;
+  RequestQuarantine quarantine_;
   /// When suspected parts were reported to the other daemons.
   std::map<PromptPartId, Told> told_;
   /// Groups of quarantined parts as last logged.
@@ -85,37 +85,4 @@
   Notifier notify_peers_;
 };
 
-/// What one send of a request tells about the prompt parts of the request.
-///
-/// Thread safety: none; runs on the thread of the `RelayState`.
-class PromptWatch {
- public:
-  /// Precondition: `guard` outlives this object.
-  PromptWatch(PromptGuard& guard,
-              std::vector<PromptPartId> parts,
-              std::string endpoint,
-              EndpointRun run)
-      : guard_(guard),
-        parts_(std::move(parts)),
-        endpoint_(std::move(endpoint)),
-        run_(run) {}
-
-  /// Called when events of the response have arrived.
-  void OnEvents(TimePoint now);
-  /// Called when the response is known to be complete.
-  void OnComplete(TimePoint now);
-  /// Called when the connection was lost before the response was complete.
-  void OnConnectionLost(TimePoint now) const;
-
- private:
-  void ReportSound(TimePoint now);
-
-  PromptGuard& guard_;
-  std::vector<PromptPartId> parts_;
-  std::string endpoint_;
-  EndpointRun run_;
-  std::optional<TimePoint> first_event_at_;
-  bool is_sound_ = false;
-};
-
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -162,10 +162,10 @@
     if (context.service == nullptr) {
       return Refusal::kNoEndpoint;
     }
-    const PromptVerdict verdict = state_.prompt_guard().OnRequest(
+    const QuarantineVerdict verdict = state_.quarantine().OnRequest(
         context.request.shared_parts, context.arrived_at, state_.rank());
-    context.is_trial = verdict == PromptVerdict::kTrial;
-    return verdict == PromptVerdict::kRefuse
+    context.is_trial = verdict == QuarantineVerdict::kTrial;
+    return verdict == QuarantineVerdict::kRefuse
                ? std::optional(Refusal::kPromptQuarantined)
                : std::nullopt;
   }
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "sycamoreford/adapters/http_client.h"
-#include "sycamoreford/adapters/prompt_guard.h"
+#include "sycamoreford/adapters/quarantine_guard.h"
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_directory.h"
 #include "sycamoreford/fleet/isolation_detector.h"
@@ -69,7 +69,7 @@
   [[nodiscard]] ChainStallDetector& stall_detector() noexcept {
     return stall_detector_;
   }
-  [[nodiscard]] PromptGuard& prompt_guard() noexcept { return prompt_guard_; }
+  [[nodiscard]] QuarantineGuard& quarantine() noexcept { return quarantine_; }
   [[nodiscard]] RelayMetrics& metrics() noexcept { return metrics_; }
 
   /// Replaces the retry limits of all services.
@@ -238,7 +238,7 @@
   EndpointDirectory directory_;
   ServiceSelector service_selector_;
   ChainStallDetector stall_detector_;
-  PromptGuard prompt_guard_;
+  QuarantineGuard quarantine_;
   RelayMetrics metrics_;
   std::map<std::string, ServiceChains> chains_;
   std::map<std::string, FleetRetryBudget> retry_budgets_;
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -39,7 +39,7 @@
   [[nodiscard]] bool IsQuarantined(const RequestContext& context) const {
     const bool is_allowed_trial = context.is_trial && context.sends == 0;
     return !is_allowed_trial &&
-           state_.prompt_guard().IsQuarantined(context.request.shared_parts);
+           state_.quarantine().IsQuarantined(context.request.shared_parts);
   }
 
   /// Time since the request arrived.
--- a/include/sycamoreford/relay/prompt_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -17,7 +17,7 @@
 
 /// What a daemon knows about a suspected prompt part, for the other daemons.
 /// Holds ages instead of times, since clocks differ between VMs.
-struct PromptPartReport {
+struct TraitReport {
   struct Crash {
     EndpointRun run;
     Duration age{0};
@@ -34,7 +34,7 @@
 };
 
 /// What to do with a request.
-enum class PromptVerdict {
+enum class QuarantineVerdict {
   kAccept,
   /// The request would probably crash the endpoint.
   kRefuse,
@@ -61,7 +61,7 @@
 /// the parts that were sound most recently are remembered.
 ///
 /// Thread safety: none.
-class PromptQuarantine {
+class RequestQuarantine {
  public:
   /// Number of endpoint runs that have to crash under a part. Two may crash by
   /// chance while a retried request runs on them.
@@ -98,9 +98,10 @@
   /// Called for each request of a caller before it is sent.
   ///
   /// \param rank position of this daemon among all daemons, from 0.
-  [[nodiscard]] PromptVerdict OnRequest(const std::vector<PromptPartId>& parts,
-                                        TimePoint now,
-                                        std::size_t rank);
+  [[nodiscard]] QuarantineVerdict OnRequest(
+      const std::vector<PromptPartId>& parts,
+      TimePoint now,
+      std::size_t rank);
 
   /// Whether a request with these parts must not be sent, or not once more.
   [[nodiscard]] bool IsQuarantined(
@@ -123,14 +124,14 @@
                                     TimePoint now);
 
   /// Merges a report of another daemon.
-  void OnReport(const PromptPartReport& report, TimePoint now);
+  void OnReport(const TraitReport& report, TimePoint now);
 
   /// Drops parts that are no longer suspected.
   void Expire(TimePoint now);
 
   /// The report on a part; nothing if it is not suspected.
-  [[nodiscard]] std::optional<PromptPartReport> ReportOn(PromptPartId part,
-                                                         TimePoint now) const;
+  [[nodiscard]] std::optional<TraitReport> ReportOn(PromptPartId part,
+                                                    TimePoint now) const;
   /// Suspected parts.
   [[nodiscard]] std::vector<PromptPartId> parts() const;
   /// Quarantined parts; those of one element are only refused together.
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -64,9 +64,9 @@
   return std::chrono::milliseconds(age);
 }
 
-json::object ToJson(const PromptPartReport& report) {
+json::object ToJson(const TraitReport& report) {
   json::object crashes;
-  for (const PromptPartReport::Crash& crash : report.crashes) {
+  for (const TraitReport::Crash& crash : report.crashes) {
     crashes[ToHex(crash.run.value())] = ToMs(crash.age);
   }
   json::object object = {{"part", ToHex(report.part.value())},
@@ -82,8 +82,8 @@
   return object;
 }
 
-PromptPartReport ToPromptPartReport(const json::object& object) {
-  PromptPartReport report;
+TraitReport ToTraitReport(const json::object& object) {
+  TraitReport report;
   report.part = PromptPartId(
       FromHex<std::uint64_t>(json::value_to<std::string>(object.at("part"))));
   for (const auto& [run, age] : object.at("crashes").as_object()) {
@@ -174,7 +174,7 @@
     const json::object& object = value.as_object();
     PeerMessage message;
     if (object.contains("part")) {
-      message.prompt_part = ToPromptPartReport(object);
+      message.prompt_part = ToTraitReport(object);
       return message;
     }
     if (const json::value* limits = object.if_contains("limits")) {
--- a/src/adapters/prompt_guard.cc
+++ b/src/adapters/quarantine_guard.cc
@@ -1,4 +1,4 @@
-#include "sycamoreford/adapters/prompt_guard.h"
+#include "sycamoreford/adapters/quarantine_guard.h"
 
 #include <algorithm>
 
@@ -9,11 +9,12 @@
 
 namespace sycamoreford {
 
-PromptVerdict PromptGuard::OnRequest(const std::vector<PromptPartId>& parts,
-                                     TimePoint now,
-                                     std::size_t rank) {
-  const PromptVerdict verdict = quarantine_.OnRequest(parts, now, rank);
-  if (verdict == PromptVerdict::kTrial) {
+QuarantineVerdict QuarantineGuard::OnRequest(
+    const std::vector<PromptPartId>& parts,
+    TimePoint now,
+    std::size_t rank) {
+  const QuarantineVerdict verdict = quarantine_.OnRequest(parts, now, rank);
+  if (verdict == QuarantineVerdict::kTrial) {
     LogEvent(Severity::kInfo, "prompt_part_trial")
         .With("parts", ToString(parts));
     TellNews(parts, now);
@@ -21,10 +22,10 @@
   return verdict;
 }
 
-void PromptGuard::OnCrash(const std::vector<PromptPartId>& parts,
-                          const std::string& endpoint,
-                          EndpointRun run,
-                          TimePoint now) {
+void QuarantineGuard::OnCrash(const std::vector<PromptPartId>& parts,
+                              const std::string& endpoint,
+                              EndpointRun run,
+                              TimePoint now) {
   const auto news = quarantine_.OnCrash(parts, run, now);
   if (news.empty()) {
     return;
@@ -36,25 +37,25 @@
   LogChanges();
 }
 
-void PromptGuard::OnSound(const std::vector<PromptPartId>& parts,
-                          TimePoint first_event_at,
-                          TimePoint now) {
+void QuarantineGuard::OnSound(const std::vector<PromptPartId>& parts,
+                              TimePoint first_event_at,
+                              TimePoint now) {
   TellNews(quarantine_.OnSound(parts, first_event_at, now), now);
   LogChanges();
 }
 
-void PromptGuard::OnReport(const PromptPartReport& report, TimePoint now) {
+void QuarantineGuard::OnReport(const TraitReport& report, TimePoint now) {
   quarantine_.OnReport(report, now);
   LogChanges();
 }
 
-std::vector<PromptPartReport> PromptGuard::DueReports(TimePoint now) {
+std::vector<TraitReport> QuarantineGuard::DueReports(TimePoint now) {
   quarantine_.Expire(now);
   LogChanges();
   std::erase_if(told_, [&](const auto& it) {
     return !quarantine_.ReportOn(it.first, now);
   });
-  std::vector<PromptPartReport> reports;
+  std::vector<TraitReport> reports;
   const auto add = [&](PromptPartId part) {
     if (reports.size() < kMaxDueReports) {
       reports.push_back(*quarantine_.ReportOn(part, now));
@@ -76,9 +77,9 @@
   return reports;
 }
 
-std::vector<PromptPartReport> PromptGuard::QuarantineReports(
+std::vector<TraitReport> QuarantineGuard::QuarantineReports(
     TimePoint now) const {
-  std::vector<PromptPartReport> reports;
+  std::vector<TraitReport> reports;
   for (const auto& group : quarantine_.groups()) {
     for (const PromptPartId part : group) {
       reports.push_back(*quarantine_.ReportOn(part, now));
@@ -87,7 +88,7 @@
   return reports;
 }
 
-std::size_t PromptGuard::quarantined_count() const {
+std::size_t QuarantineGuard::quarantined_count() const {
   std::size_t count = 0;
   for (const auto& group : quarantine_.groups()) {
     count += group.size();
@@ -95,8 +96,8 @@
   return count;
 }
 
-EndpointRun PromptGuard::RunOf(const EndpointDirectory& directory,
-                               const std::string& endpoint) {
+EndpointRun QuarantineGuard::RunOf(const EndpointDirectory& directory,
+                                   const std::string& endpoint) {
   const KnownEndpoint* known = directory.Find(endpoint);
   const std::uint64_t started_at_ms =
       known == nullptr ? 0 : known->record.started_at_ms;
@@ -104,8 +105,8 @@
       XXH64(endpoint.data(), endpoint.size(), started_at_ms)));
 }
 
-void PromptGuard::TellNews(const std::vector<PromptPartId>& parts,
-                           TimePoint now) {
+void QuarantineGuard::TellNews(const std::vector<PromptPartId>& parts,
+                               TimePoint now) {
   for (const PromptPartId part : parts) {
     const auto report = quarantine_.ReportOn(part, now);
     if (!report) {
@@ -118,7 +119,7 @@
   }
 }
 
-void PromptGuard::LogChanges() {
+void QuarantineGuard::LogChanges() {
   const auto& groups = quarantine_.groups();
   if (groups == logged_groups_) {
     return;
@@ -139,31 +140,4 @@
   logged_groups_ = groups;
 }
 
-void PromptWatch::OnEvents(TimePoint now) {
-  first_event_at_ = first_event_at_.value_or(now);
-  if (now - *first_event_at_ >= PromptQuarantine::kBeginning) {
-    ReportSound(now);
-  }
-}
-
-void PromptWatch::OnComplete(TimePoint now) {
-  first_event_at_ = first_event_at_.value_or(now);
-  ReportSound(now);
-}
-
-void PromptWatch::OnConnectionLost(TimePoint now) const {
-  const bool has_only_begun =
-      !first_event_at_ || now - *first_event_at_ < PromptQuarantine::kBeginning;
-  if (!is_sound_ && has_only_begun && !parts_.empty()) {
-    guard_.OnCrash(parts_, endpoint_, run_, now);
-  }
-}
-
-void PromptWatch::ReportSound(TimePoint now) {
-  if (!is_sound_) {
-    is_sound_ = true;
-    guard_.OnSound(parts_, *first_event_at_, now);
-  }
-}
-
 }  // namespace sycamoreford
--- a/src/relay/prompt_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "sycamoreford/relay/prompt_quarantine.h"
+#include "sycamoreford/relay/request_quarantine.h"
 
 #include <algorithm>
 #include <tuple>
@@ -20,15 +20,15 @@
 Duration TrialDelay(std::uint32_t trials) {
   constexpr std::uint32_t kMaxDoublings = 12;
   if (trials == 0) {
-    return PromptQuarantine::kFirstTrialDelay;
+    return RequestQuarantine::kFirstTrialDelay;
   }
-  return PromptQuarantine::kSecondTrialDelay *
+  return RequestQuarantine::kSecondTrialDelay *
          (1U << std::min(2 * (trials - 1), kMaxDoublings));
 }
 
 }  // namespace
 
-TimePoint PromptQuarantine::Suspect::LastEvidence() const {
+TimePoint RequestQuarantine::Suspect::LastEvidence() const {
   TimePoint last = last_sound.value_or(TimePoint{});
   for (const auto& [run, at] : crashes) {
     last = std::max(last, at);
@@ -36,7 +36,7 @@
   return last;
 }
 
-PromptVerdict PromptQuarantine::OnRequest(
+QuarantineVerdict RequestQuarantine::OnRequest(
     const std::vector<PromptPartId>& parts,
     TimePoint now,
     std::size_t rank) {
@@ -50,29 +50,29 @@
   for (const auto& group : groups_) {
     if (ContainsAll(parts, group)) {
       if (quarantined != nullptr) {
-        return PromptVerdict::kRefuse;
+        return QuarantineVerdict::kRefuse;
       }
       quarantined = &group;
     }
   }
   if (quarantined == nullptr) {
-    return PromptVerdict::kAccept;
+    return QuarantineVerdict::kAccept;
   }
   if (!IsTrialDue(*quarantined, parts, now, rank)) {
-    return PromptVerdict::kRefuse;
+    return QuarantineVerdict::kRefuse;
   }
   for (const PromptPartId part : *quarantined) {
     Suspect& suspect = suspects_.at(part);
     suspect.last_trial = now;
     ++suspect.trials;
   }
-  return PromptVerdict::kTrial;
+  return QuarantineVerdict::kTrial;
 }
 
-bool PromptQuarantine::IsTrialDue(const std::vector<PromptPartId>& group,
-                                  const std::vector<PromptPartId>& parts,
-                                  TimePoint now,
-                                  std::size_t rank) const {
+bool RequestQuarantine::IsTrialDue(const std::vector<PromptPartId>& group,
+                                   const std::vector<PromptPartId>& parts,
+                                   TimePoint now,
+                                   std::size_t rank) const {
   const std::size_t crashes = suspects_.at(group.front()).crashes.size();
   // With another part that is as suspicious, a crash would not tell which of
   // them caused it.
@@ -97,14 +97,14 @@
          TrialDelay(trials) + kTrialStagger * static_cast<std::int64_t>(rank);
 }
 
-bool PromptQuarantine::IsQuarantined(
+bool RequestQuarantine::IsQuarantined(
     const std::vector<PromptPartId>& parts) const {
   return std::any_of(groups_.begin(), groups_.end(), [&](const auto& group) {
     return ContainsAll(parts, group);
   });
 }
 
-std::vector<PromptPartId> PromptQuarantine::OnCrash(
+std::vector<PromptPartId> RequestQuarantine::OnCrash(
     const std::vector<PromptPartId>& parts,
     EndpointRun run,
     TimePoint now) {
@@ -120,7 +120,7 @@
   return news;
 }
 
-std::vector<PromptPartId> PromptQuarantine::OnSound(
+std::vector<PromptPartId> RequestQuarantine::OnSound(
     const std::vector<PromptPartId>& parts,
     TimePoint first_event_at,
     TimePoint now) {
@@ -145,7 +145,7 @@
   return news;
 }
 
-void PromptQuarantine::OnReport(const PromptPartReport& report, TimePoint now) {
+void RequestQuarantine::OnReport(const TraitReport& report, TimePoint now) {
   if (!suspects_.contains(report.part) && report.crashes.empty()) {
     return;
   }
@@ -157,7 +157,7 @@
                                   now - *report.trial_age);
   }
   suspect.trials = std::max(suspect.trials, report.trials);
-  for (const PromptPartReport::Crash& crash : report.crashes) {
+  for (const TraitReport::Crash& crash : report.crashes) {
     AddCrash(suspect, crash.run, now - crash.age);
   }
   if (report.sound_age) {
@@ -166,8 +166,8 @@
   Evaluate();
 }
 
-PromptQuarantine::Suspect& PromptQuarantine::SuspectFor(PromptPartId part,
-                                                        TimePoint now) {
+RequestQuarantine::Suspect& RequestQuarantine::SuspectFor(PromptPartId part,
+                                                          TimePoint now) {
   if (suspects_.size() >= kMaxParts && !suspects_.contains(part)) {
     Expire(now);
     DropLeastSuspicious();
@@ -180,7 +180,7 @@
   return entry->second;
 }
 
-void PromptQuarantine::RememberSound(PromptPartId part, TimePoint at) {
+void RequestQuarantine::RememberSound(PromptPartId part, TimePoint at) {
   TimePoint& last = last_sound_[part];
   last = std::max(last, at);
   if (last_sound_.size() > kMaxSoundParts) {
@@ -190,9 +190,9 @@
   }
 }
 
-bool PromptQuarantine::AddCrash(Suspect& suspect,
-                                EndpointRun run,
-                                TimePoint at) {
+bool RequestQuarantine::AddCrash(Suspect& suspect,
+                                 EndpointRun run,
+                                 TimePoint at) {
   if (suspect.last_sound && at <= *suspect.last_sound) {
     return false;
   }
@@ -206,14 +206,14 @@
   return is_new;
 }
 
-void PromptQuarantine::ApplySound(Suspect& suspect, TimePoint at) {
+void RequestQuarantine::ApplySound(Suspect& suspect, TimePoint at) {
   const TimePoint last = std::max(suspect.last_sound.value_or(TimePoint{}), at);
   suspect.last_sound = last;
   std::erase_if(suspect.crashes,
                 [&](const auto& crash) { return crash.second <= last; });
 }
 
-void PromptQuarantine::DropLeastSuspicious() {
+void RequestQuarantine::DropLeastSuspicious() {
   const auto rank = [&](const auto& entry) {
     return std::tuple(IsInGroup(entry.first), entry.second.crashes.size(),
                       entry.second.LastEvidence());
@@ -225,12 +225,12 @@
   }
 }
 
-bool PromptQuarantine::IsInGroup(PromptPartId part) const {
+bool RequestQuarantine::IsInGroup(PromptPartId part) const {
   return std::any_of(groups_.begin(), groups_.end(),
                      [&](const auto& group) { return Contains(group, part); });
 }
 
-bool PromptQuarantine::IsEnough(const Crashes& crashes) {
+bool RequestQuarantine::IsEnough(const Crashes& crashes) {
   if (crashes.size() < kMinCrashes) {
     return false;
   }
@@ -240,7 +240,7 @@
   return last->second - first->second >= kMinCrashSpan;
 }
 
-void PromptQuarantine::Evaluate() {
+void RequestQuarantine::Evaluate() {
   groups_.clear();
   std::map<PromptPartId, Crashes> unexplained;
   for (const auto& [part, suspect] : suspects_) {
@@ -282,7 +282,7 @@
   }
 }
 
-void PromptQuarantine::Expire(TimePoint now) {
+void RequestQuarantine::Expire(TimePoint now) {
   for (auto& [part, suspect] : suspects_) {
     if (!IsInGroup(part)) {
       std::erase_if(suspect.crashes, [&](const auto& crash) {
@@ -298,15 +298,14 @@
   Evaluate();
 }
 
-std::optional<PromptPartReport> PromptQuarantine::ReportOn(
-    PromptPartId part,
-    TimePoint now) const {
+std::optional<TraitReport> RequestQuarantine::ReportOn(PromptPartId part,
+                                                       TimePoint now) const {
   const auto found = suspects_.find(part);
   if (found == suspects_.end()) {
     return std::nullopt;
   }
   const Suspect& suspect = found->second;
-  PromptPartReport report;
+  TraitReport report;
   report.part = part;
   for (const auto& [run, at] : suspect.crashes) {
     report.crashes.push_back({run, now - at});
@@ -327,7 +326,7 @@
   return report;
 }
 
-std::vector<PromptPartId> PromptQuarantine::parts() const {
+std::vector<PromptPartId> RequestQuarantine::parts() const {
   std::vector<PromptPartId> parts;
   for (const auto& [part, suspect] : suspects_) {
     parts.push_back(part);
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -413,7 +413,7 @@
     message.prompt_part->request_age = milliseconds(20);
     message.prompt_part->trials = 2;
     const std::uint32_t crashes =
-        GENERATE(0U, 2U, std::uint32_t{PromptQuarantine::kMaxReportedCrashes});
+        GENERATE(0U, 2U, std::uint32_t{RequestQuarantine::kMaxReportedCrashes});
     for (std::uint32_t i = 0; i < crashes; ++i) {
       message.prompt_part->crashes.push_back(
           {EndpointRun(~i), std::chrono::hours(23)});
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -9,7 +9,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
-#include "sycamoreford/relay/prompt_quarantine.h"
+#include "sycamoreford/relay/request_quarantine.h"
 
 namespace sycamoreford {
 namespace {
@@ -35,7 +35,7 @@
 /// 600 ms.
 ///
 /// \returns the time of the last crash in milliseconds after `kStart`.
-int Crash(PromptQuarantine& quarantine, const Parts& parts, int count) {
+int Crash(RequestQuarantine& quarantine, const Parts& parts, int count) {
   int ms = 0;
   for (int i = 1; i <= count; ++i) {
     ms += 600;
@@ -45,7 +45,7 @@
 }
 
 TEST_CASE("a prompt part under which endpoints crash") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
 
   SECTION("is not quarantined after two crashes") {
     Crash(quarantine, {kCulprit}, 2);
@@ -87,7 +87,7 @@
       REQUIRE_FALSE(quarantine.IsQuarantined({kCulprit}));
     }
     SECTION("it is forgotten when there are no more requests with it") {
-      quarantine.Expire(At(last) + PromptQuarantine::kQuietTime + seconds(1));
+      quarantine.Expire(At(last) + RequestQuarantine::kQuietTime + seconds(1));
       REQUIRE_FALSE(quarantine.IsQuarantined({kCulprit}));
       REQUIRE(quarantine.parts().empty());
     }
@@ -96,8 +96,8 @@
       for (int ms = last; ms < last + 200'000; ms += 100) {
         quarantine.Expire(At(ms));
         const auto verdict = quarantine.OnRequest({kCulprit}, At(ms), 0);
-        REQUIRE(verdict != PromptVerdict::kAccept);
-        if (verdict == PromptVerdict::kTrial) {
+        REQUIRE(verdict != QuarantineVerdict::kAccept);
+        if (verdict == QuarantineVerdict::kTrial) {
           ++trials;
           quarantine.OnCrash({kCulprit},
                              Run(static_cast<std::uint32_t>(100 + trials)),
@@ -109,19 +109,19 @@
     }
     SECTION("a daemon of higher rank waits longer for a trial") {
       const auto verdict = [&](int ms, std::size_t rank) {
-        PromptQuarantine copy = quarantine;
+        RequestQuarantine copy = quarantine;
         return copy.OnRequest({kCulprit}, At(last + ms), rank);
       };
-      REQUIRE(verdict(900, 0) == PromptVerdict::kRefuse);
-      REQUIRE(verdict(1'000, 0) == PromptVerdict::kTrial);
-      REQUIRE(verdict(1'400, 1) == PromptVerdict::kRefuse);
-      REQUIRE(verdict(1'500, 1) == PromptVerdict::kTrial);
+      REQUIRE(verdict(900, 0) == QuarantineVerdict::kRefuse);
+      REQUIRE(verdict(1'000, 0) == QuarantineVerdict::kTrial);
+      REQUIRE(verdict(1'400, 1) == QuarantineVerdict::kRefuse);
+      REQUIRE(verdict(1'500, 1) == QuarantineVerdict::kTrial);
     }
   }
 }
 
 TEST_CASE("prompt parts of requests that a crash affects by chance") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   const auto crash = [&](std::uint32_t run, const std::vector<Parts>& requests,
                          int ms) {
     for (const Parts& parts : requests) {
@@ -176,11 +176,11 @@
     REQUIRE(quarantine.IsQuarantined({kFirst, kOther}));
     const TimePoint later = At(last + 1'200);
     REQUIRE(quarantine.OnRequest({kFirst, kCulprit}, later, 0) ==
-            PromptVerdict::kRefuse);
+            QuarantineVerdict::kRefuse);
     REQUIRE(quarantine.OnRequest({kFirst, kOther}, later, 0) ==
-            PromptVerdict::kTrial);
+            QuarantineVerdict::kTrial);
     REQUIRE(quarantine.OnRequest({kFirst, kOther}, later, 0) ==
-            PromptVerdict::kRefuse);
+            QuarantineVerdict::kRefuse);
     (void)quarantine.OnSound({kFirst, kOther}, later, later);
     REQUIRE_FALSE(quarantine.IsQuarantined({kFirst}));
     REQUIRE(quarantine.IsQuarantined({kFirst, kCulprit}));
@@ -197,15 +197,15 @@
 }
 
 TEST_CASE("a quarantine has bounded memory") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   Crash(quarantine, {kCulprit}, 100);
   REQUIRE(quarantine.ReportOn(kCulprit, At(70'000))->crashes.size() ==
-          PromptQuarantine::kMaxReportedCrashes);
+          RequestQuarantine::kMaxReportedCrashes);
   for (std::uint32_t i = 0; i < 10'000; ++i) {
     quarantine.OnCrash({PromptPartId(10 + i)}, Run(i),
                        At(70'000 + static_cast<int>(i)));
   }
-  REQUIRE(quarantine.parts().size() <= PromptQuarantine::kMaxParts);
+  REQUIRE(quarantine.parts().size() <= RequestQuarantine::kMaxParts);
   REQUIRE(quarantine.IsQuarantined({kCulprit}));
 
   SECTION("requests add nothing to it") {
@@ -220,8 +220,9 @@
 }
 
 /// Reports without the ages that differ by the time of the reports.
-std::vector<std::vector<EndpointRun>> RunsOf(const PromptQuarantine& quarantine,
-                                             TimePoint now) {
+std::vector<std::vector<EndpointRun>> RunsOf(
+    const RequestQuarantine& quarantine,
+    TimePoint now) {
   std::vector<std::vector<EndpointRun>> all;
   for (const PromptPartId part : quarantine.parts()) {
     auto& runs = all.emplace_back();
@@ -237,9 +238,9 @@
   REQUIRE(rc::check("whatever order their reports arrive in", [] {
     const auto count = *rc::gen::inRange(1, 30);
     const TimePoint now = At(20'000);
-    std::vector<PromptPartReport> reports;
+    std::vector<TraitReport> reports;
     for (int i = 0; i < count; ++i) {
-      PromptPartReport report;
+      TraitReport report;
       report.part = PromptPartId(*rc::gen::inRange<std::uint64_t>(1, 5));
       const auto crashes = *rc::gen::inRange(1, 4);
       for (int j = 0; j < crashes; ++j) {
@@ -256,8 +257,8 @@
     shuffled.insert(shuffled.end(), reports.begin(), reports.end());
     std::shuffle(shuffled.begin(), shuffled.end(),
                  std::minstd_rand(*rc::gen::arbitrary<std::uint32_t>()));
-    PromptQuarantine one;
-    PromptQuarantine other;
+    RequestQuarantine one;
+    RequestQuarantine other;
     for (const auto& report : reports) {
       one.OnReport(report, now);
     }
@@ -311,10 +312,10 @@
   bool Send(const Parts& parts) {
     const auto daemon = static_cast<std::size_t>(Random(kDaemons));
     const auto verdict = daemons_[daemon].OnRequest(parts, now_, daemon);
-    if (verdict == PromptVerdict::kTrial) {
+    if (verdict == QuarantineVerdict::kTrial) {
       Tell(daemon, parts);
     }
-    if (verdict == PromptVerdict::kRefuse) {
+    if (verdict == QuarantineVerdict::kRefuse) {
       return false;
     }
     Begin(daemon, parts);
@@ -359,13 +360,14 @@
       Schedule(now_ + kTimeToCrash, [this, id, run] { Crash(id, run); });
       return;
     }
-    Schedule(first_event + PromptQuarantine::kBeginning, [this, id, run, daemon,
-                                                          parts, first_event] {
-      if (endpoints_[id].is_up && endpoints_[id].run == run &&
-          !daemons_[daemon].OnSound(parts, first_event, now_).empty()) {
-        Tell(daemon, parts);
-      }
-    });
+    Schedule(
+        first_event + RequestQuarantine::kBeginning,
+        [this, id, run, daemon, parts, first_event] {
+          if (endpoints_[id].is_up && endpoints_[id].run == run &&
+              !daemons_[daemon].OnSound(parts, first_event, now_).empty()) {
+            Tell(daemon, parts);
+          }
+        });
   }
 
   void Crash(int id, std::uint32_t run) {
@@ -376,7 +378,7 @@
     crashes.push_back(now_);
     endpoint.is_up = false;
     for (const Request& request : endpoint.requests) {
-      if (now_ < request.first_event + PromptQuarantine::kBeginning) {
+      if (now_ < request.first_event + RequestQuarantine::kBeginning) {
         daemons_[request.daemon].OnCrash(request.parts, Run(run), now_);
         Tell(request.daemon, request.parts);
       }
@@ -411,7 +413,7 @@
   int loss_percent_;
   TimePoint now_ = kStart;
   std::multimap<TimePoint, std::function<void()>> actions_;
-  std::vector<PromptQuarantine> daemons_;
+  std::vector<RequestQuarantine> daemons_;
   std::map<int, Endpoint> endpoints_;
   std::uint32_t runs_ = 0;
 };
