--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -9,12 +9,10 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/strong_id.h"
+#include "sycamoreford/relay/trait_evidence.h"
 
 namespace sycamoreford {
 
-/// Identifier of one run of an endpoint process, from its start to its end.
-using EndpointRun = StrongId<struct EndpointRunTag, std::uint32_t>;
-
 /// What a daemon knows about a suspected prompt part, for the other daemons.
 /// Holds ages instead of times, since clocks differ between VMs.
 struct TraitReport {
@@ -88,9 +86,6 @@
   static constexpr std::size_t kMaxParts = 256;
   /// Maximum number of sound parts that are remembered.
   static constexpr std::size_t kMaxSoundParts = 1'024;
-  /// Maximum number of crashes that are remembered for a part; the oldest is
-  /// dropped.
-  static constexpr std::size_t kMaxCrashes = 64;
   /// Maximum number of crashes in a report, the latest ones; it has to fit into
   /// a datagram of 512 bytes.
   static constexpr std::size_t kMaxReportedCrashes = 16;
@@ -141,25 +136,11 @@
   }
 
  private:
-  using Crashes = std::map<EndpointRun, TimePoint>;
-
-  struct Suspect {
-    /// Crashes after the latest sound request.
-    Crashes crashes;
-    /// Also set if the latest sound request was before all known crashes.
-    std::optional<TimePoint> last_sound;
-    TimePoint last_request{};
-    std::optional<TimePoint> last_trial;
-    std::uint32_t trials = 0;
-
-    [[nodiscard]] TimePoint LastEvidence() const;
-  };
+  using Suspect = TraitEvidence;
+  using Crashes = TraitEvidence::Crashes;
 
   Suspect& SuspectFor(PromptPartId part, TimePoint now);
-  /// \returns whether the crash was not known.
-  static bool AddCrash(Suspect& suspect, EndpointRun run, TimePoint at);
   void RememberSound(PromptPartId part, TimePoint at);
-  static void ApplySound(Suspect& suspect, TimePoint at);
   /// Makes room for a further part.
   void DropLeastSuspicious();
   /// Determines `groups_` from the evidence.
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -28,14 +28,6 @@
 
 }  // namespace
 
-TimePoint RequestQuarantine::Suspect::LastEvidence() const {
-  TimePoint last = last_sound.value_or(TimePoint{});
-  for (const auto& [run, at] : crashes) {
-    last = std::max(last, at);
-  }
-  return last;
-}
-
 QuarantineVerdict RequestQuarantine::OnRequest(
     const std::vector<PromptPartId>& parts,
     TimePoint now,
@@ -112,7 +104,7 @@
   for (const PromptPartId part : parts) {
     Suspect& suspect = SuspectFor(part, now);
     suspect.last_request = std::max(suspect.last_request, now);
-    if (AddCrash(suspect, run, now)) {
+    if (suspect.AddCrash(run, now)) {
       news.push_back(part);
     }
   }
@@ -134,7 +126,7 @@
     Suspect& suspect = found->second;
     suspect.last_request = std::max(suspect.last_request, now);
     const std::size_t crashes = suspect.crashes.size();
-    ApplySound(suspect, first_event_at);
+    suspect.ApplySound(first_event_at);
     if (suspect.crashes.size() != crashes) {
       news.push_back(part);
     }
@@ -158,10 +150,10 @@
   }
   suspect.trials = std::max(suspect.trials, report.trials);
   for (const TraitReport::Crash& crash : report.crashes) {
-    AddCrash(suspect, crash.run, now - crash.age);
+    suspect.AddCrash(crash.run, now - crash.age);
   }
   if (report.sound_age) {
-    ApplySound(suspect, now - *report.sound_age);
+    suspect.ApplySound(now - *report.sound_age);
   }
   Evaluate();
 }
@@ -190,29 +182,6 @@
   }
 }
 
-bool RequestQuarantine::AddCrash(Suspect& suspect,
-                                 EndpointRun run,
-                                 TimePoint at) {
-  if (suspect.last_sound && at <= *suspect.last_sound) {
-    return false;
-  }
-  const auto [entry, is_new] = suspect.crashes.try_emplace(run, at);
-  entry->second = std::min(entry->second, at);
-  if (suspect.crashes.size() > kMaxCrashes) {
-    suspect.crashes.erase(std::min_element(
-        suspect.crashes.begin(), suspect.crashes.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
-  }
-  return is_new;
-}
-
-void RequestQuarantine::ApplySound(Suspect& suspect, TimePoint at) {
-  const TimePoint last = std::max(suspect.last_sound.value_or(TimePoint{}), at);
-  suspect.last_sound = last;
-  std::erase_if(suspect.crashes,
-                [&](const auto& crash) { return crash.second <= last; });
-}
-
 void RequestQuarantine::DropLeastSuspicious() {
   const auto rank = [&](const auto& entry) {
     return std::tuple(IsInGroup(entry.first), entry.second.crashes.size(),
