--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -24,8 +24,8 @@
   double tokens = 0;
   /// Silence after which the attempt ends if a stage does not respond either.
   std::chrono::milliseconds max_silence{0};
-  /// Parts of the prompt that other requests may share.
-  std::vector<PromptPartId> shared_parts;
+  /// What the request may have in common with others that crash endpoints.
+  std::vector<RequestTrait> traits;
 };
 
 /// A send of a request to a chain. Is interrupted if a stage is suspected.
@@ -54,7 +54,7 @@
         tokens_(options.tokens),
         max_silence_(options.max_silence),
         crash_watch_(state.quarantine(),
-                     std::move(options.shared_parts),
+                     std::move(options.traits),
                      destination(),
                      QuarantineGuard::RunOf(state.directory(), destination())) {
     for (const ChainStage& stage : stages_) {
@@ -91,7 +91,7 @@
     } else if (step == AttemptStep::kNotRun) {
       OnRefusal();
     } else if (step == AttemptStep::kLost &&
-               Base::failure().code == Errc::kConnectionLost) {
+               Base::failure().code == Errc::kConnectionLost && !IsLeaving()) {
       crash_watch_.OnConnectionLost(clock().Now());
     }
   }
@@ -133,6 +133,12 @@
   void OnEvents() override { crash_watch_.OnEvents(clock().Now()); }
   void OnComplete() override { crash_watch_.OnComplete(clock().Now()); }
 
+  /// Whether the first endpoint was about to end anyway.
+  [[nodiscard]] bool IsLeaving() const {
+    const auto run = sender();
+    return run && state_.directory().leaving().Contains(*run);
+  }
+
   /// The chain has refused the request. If the response names the faulty stage,
   /// that endpoint is not used for a while.
   void OnRefusal() {
--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -181,7 +181,7 @@
             .stages = stages,
             .tokens = tokens,
             .max_silence = relay::kMaxSoundSilence,
-            .shared_parts = context.request.shared_parts});
+            .traits = context.traits});
   }
 };
 
--- a/include/sycamoreford/adapters/crash_watch.h
+++ b/include/sycamoreford/adapters/crash_watch.h
@@ -9,18 +9,18 @@
 
 namespace sycamoreford {
 
-/// What one send of a request tells about the prompt parts of the request.
+/// What one send of a request tells about the traits of the request.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 class CrashWatch {
  public:
   /// Precondition: `guard` outlives this object.
   CrashWatch(QuarantineGuard& guard,
-             std::vector<PromptPartId> parts,
+             std::vector<RequestTrait> traits,
              std::string endpoint,
              EndpointRun run)
       : guard_(guard),
-        parts_(std::move(parts)),
+        traits_(std::move(traits)),
         endpoint_(std::move(endpoint)),
         run_(run) {}
 
@@ -35,7 +35,7 @@
   void ReportSound(TimePoint now);
 
   QuarantineGuard& guard_;
-  std::vector<PromptPartId> parts_;
+  std::vector<RequestTrait> traits_;
   std::string endpoint_;
   EndpointRun run_;
   std::optional<TimePoint> first_event_at_;
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -132,6 +132,11 @@
   [[nodiscard]] const std::string& endpoint() const noexcept {
     return options_.endpoint;
   }
+  /// The run that the request was sent to; empty if it was sent to another
+  /// daemon.
+  [[nodiscard]] const std::optional<EndpointRunId>& run() const noexcept {
+    return options_.run;
+  }
   [[nodiscard]] bool is_forwarded() const noexcept {
     return options_.is_forwarded;
   }
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -320,9 +320,9 @@
 
   [[nodiscard]] CrashWatch CrashWatchFor(const RequestContext& context,
                                          const ToEndpoint& attempt) {
-    return {state_.quarantine(), context.request.shared_parts,
-            attempt.endpoint(),
-            QuarantineGuard::RunOf(state_.directory(), attempt.endpoint())};
+    return {
+        state_.quarantine(), context.traits, attempt.endpoint(),
+        attempt.run() ? QuarantineGuard::RunOf(*attempt.run()) : EndpointRun()};
   }
 
   /// Called when a request was sent through another daemon in vain.
@@ -358,7 +358,9 @@
     } else {
       LogResponseLost(context, attempt.endpoint(), attempt.failure(),
                       attempt.has_begun());
-      if (attempt.failure().code == Errc::kConnectionLost) {
+      // An endpoint that is leaving ends anyway.
+      if (attempt.failure().code == Errc::kConnectionLost &&
+          !state_.directory().leaving().Contains(*attempt.run())) {
         CrashWatchFor(context, attempt).OnConnectionLost(clock_.Now());
       }
     }
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -20,16 +20,16 @@
 namespace sycamoreford {
 
 /// A message from one daemon to the others: a report about an endpoint, a
-/// report about a suspected prompt part, reports about the limits of endpoints,
-/// the endpoints that are leaving, or the sender's retry usage, configuration
-/// revision and status.
+/// report about a suspected trait of requests, reports about the limits of
+/// endpoints, the endpoints that are leaving, or the sender's retry usage,
+/// configuration revision and status.
 struct PeerMessage {
   /// Id of the endpoint; empty if the message carries retry usage.
   std::string endpoint;
   /// Slowness that the endpoint reported; empty if the endpoint is suspected of
   /// another fault.
   std::optional<double> slowness;
-  std::optional<TraitReport> prompt_part;
+  std::optional<TraitReport> trait;
   std::vector<EndpointLimitReport> limits;
   /// Runs of endpoints that are leaving.
   std::vector<EndpointRunId> leaving;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -189,7 +189,7 @@
   void SendReport(const std::vector<std::string>& addresses,
                   const TraitReport& report) {
     PeerMessage message;
-    message.prompt_part = report;
+    message.trait = report;
     datagrams_.Send(addresses, message);
   }
 
@@ -256,8 +256,8 @@
   }
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
-    if (message.prompt_part) {
-      state_.quarantine().OnReport(*message.prompt_part, clock_.Now());
+    if (message.trait) {
+      state_.quarantine().OnReport(*message.trait, clock_.Now());
       return;
     }
     if (!message.limits.empty()) {
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -26,7 +26,8 @@
 /// reported that it did not run it, or if nothing was sent. A resumable stream
 /// that breaks is resumed at another chain after its last complete event.
 ///
-/// A request whose prompt crashes endpoints is refused, and not sent again.
+/// A request that crashes endpoints, by a part of its prompt or as a whole, is
+/// refused, and not sent again.
 ///
 /// Silence alone ends no attempt: a request that may run again is sent
 /// elsewhere as well, and the attempt that goes on first is kept.
@@ -94,6 +95,7 @@
 
  private:
   using Processor::clock_;
+  using Processor::QuarantineRefusal;
   using Processor::Refuse;
   using Processor::state_;
 
@@ -154,6 +156,9 @@
       context.priority = customer->priority.value_or(context.priority);
     }
     context.fingerprint = FingerprintOf(context.request, context.customer);
+    context.traits.assign(context.request.shared_parts.begin(),
+                          context.request.shared_parts.end());
+    context.traits.emplace_back(context.fingerprint);
     const auto caller_timeout =
         context.request.caller_timeout.value_or(context.route->time_limit);
     context.deadline = context.arrived_at +
@@ -162,11 +167,12 @@
     if (context.service == nullptr) {
       return Refusal::kNoEndpoint;
     }
-    const QuarantineVerdict verdict = state_.quarantine().OnRequest(
-        context.request.shared_parts, context.arrived_at, state_.rank());
+    const QuarantineVerdict verdict =
+        state_.quarantine().OnRequest(context.traits, context.arrived_at,
+                                      state_.rank(), state_.daemon_count());
     context.is_trial = verdict == QuarantineVerdict::kTrial;
     return verdict == QuarantineVerdict::kRefuse
-               ? std::optional(Refusal::kPromptQuarantined)
+               ? std::optional(QuarantineRefusal(context))
                : std::nullopt;
   }
 
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -8,11 +8,13 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/strong_id.h"
 #include "sycamoreford/relay/manifest.h"
 #include "sycamoreford/relay/relay_request.h"
+#include "sycamoreford/relay/request_trait.h"
 
 namespace sycamoreford {
 
@@ -51,6 +53,8 @@
   const RelayService* service = nullptr;
   std::string customer;
   RequestFingerprint fingerprint;
+  /// What the request may have in common with others that crash endpoints.
+  std::vector<RequestTrait> traits;
   std::uint32_t priority = 0;
   TimePoint arrived_at{};
   /// End of the time limit of the caller or the route, whichever is earlier.
@@ -64,8 +68,10 @@
   std::set<std::string> tried_peers;
   /// Whether an endpoint may have run the request.
   bool may_have_run = false;
-  /// Whether the request is sent once although its prompt is quarantined.
+  /// Whether the request is sent once although it is quarantined.
   bool is_trial = false;
+  /// Whether the trial was made.
+  bool was_tried = false;
   /// Why the request was not sent, or not sent again.
   std::string_view last_denial;
   /// Time after which the limits of endpoints may allow the request.
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -35,11 +35,24 @@
       : state_(state), clock_(clock), random_(std::random_device{}()) {}
 
   /// Whether the request must not be sent, or not again, because endpoints
-  /// crash under its prompt.
+  /// crash under it.
   [[nodiscard]] bool IsQuarantined(const RequestContext& context) const {
     const bool is_allowed_trial = context.is_trial && context.sends == 0;
     return !is_allowed_trial &&
-           state_.quarantine().IsQuarantined(context.request.shared_parts);
+           state_.quarantine().IsQuarantined(context.traits);
+  }
+
+  /// The reason to refuse a quarantined request. Sets when the caller may come
+  /// back.
+  [[nodiscard]] Refusal QuarantineRefusal(RequestContext& context) const {
+    const auto& quarantine = state_.quarantine();
+    if (!quarantine.IsQuarantinedAsWhole(context.traits)) {
+      return Refusal::kPromptQuarantined;
+    }
+    context.allowed_after = std::chrono::ceil<std::chrono::milliseconds>(
+        quarantine.TimeUntilTrial(context.traits, clock_.Now())
+            .value_or(relay::kQuarantineRetryAfter));
+    return Refusal::kRequestQuarantined;
   }
 
   /// Time since the request arrived.
@@ -50,13 +63,7 @@
   boost::asio::awaitable<void> Refuse(HttpExchange& exchange,
                                       const RequestContext& context,
                                       Refusal refusal) {
-    LogEvent(Severity::kInfo, "refused")
-        .With("request", context.request.id)
-        .With("reason", ToString(refusal))
-        .With("route", context.route == nullptr ? "" : context.route->name)
-        .With("revision", context.manifest ? context.manifest->revision() : 0)
-        .With("sends", context.sends)
-        .With("after_ms", Elapsed(context));
+    LogRefusal(context, refusal);
     RecordOutcome(context, ToString(refusal));
     HttpResponse response = Codec::EncodeRefusal(
         refusal, relay::DrawRetryAfter(random_, context.allowed_after));
@@ -66,6 +73,19 @@
     co_await exchange.Respond(std::move(response));
   }
 
+  void LogRefusal(const RequestContext& context, Refusal refusal) const {
+    LogEvent entry(Severity::kInfo, "refused");
+    entry.With("request", context.request.id)
+        .With("reason", ToString(refusal))
+        .With("route", context.route == nullptr ? "" : context.route->name)
+        .With("revision", context.manifest ? context.manifest->revision() : 0)
+        .With("sends", context.sends)
+        .With("after_ms", Elapsed(context));
+    if (refusal == Refusal::kRequestQuarantined) {
+      entry.With("fingerprint", ToString(context.fingerprint));
+    }
+  }
+
   /// Counts how a request has ended. Those of other daemons are counted there.
   void RecordOutcome(const RequestContext& context, std::string_view outcome) {
     if (context.is_from_peer) {
@@ -76,8 +96,9 @@
         context.customer, outcome, Elapsed(context), context.sends);
   }
 
-  /// The reason to return to the caller of a request without a response.
-  [[nodiscard]] Refusal FinalRefusal(const RequestContext& context) const {
+  /// The reason to return to the caller of a request without a response. Sets
+  /// when the caller may come back.
+  [[nodiscard]] Refusal FinalRefusal(RequestContext& context) const {
     const bool is_late = context.TimeLeft(clock_.Now()) < relay::kMinTimeLeft;
     if (context.may_have_run) {
       return is_late ? Refusal::kTimedOut : Refusal::kAnswerLost;
@@ -86,7 +107,7 @@
       return Refusal::kTooLate;
     }
     if (IsQuarantined(context)) {
-      return Refusal::kPromptQuarantined;
+      return QuarantineRefusal(context);
     }
     return context.last_denial == kEndpointLimit ? Refusal::kEndpointLimit
                                                  : Refusal::kNoEndpoint;
@@ -102,7 +123,7 @@
     } else if (context.may_have_run && !context.MayRunAgain()) {
       context.last_denial = "runs_at_most_once";
     } else if (IsQuarantined(context)) {
-      context.last_denial = "prompt_quarantined";
+      context.last_denial = "quarantined";
     }
     return context.last_denial.empty();
   }
@@ -191,6 +212,10 @@
       context.last_denial = "retry_budget";
       return false;
     }
+    if (context.is_trial && !context.was_tried) {
+      context.was_tried = true;
+      state_.quarantine().OnTrial(context.traits, clock_.Now());
+    }
     ++context.sends;
     return true;
   }
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -125,6 +125,8 @@
   kEndpointLimit,
   /// Endpoints crash under a part of the prompt; the request has not run.
   kPromptQuarantined,
+  /// Endpoints crash under the request as a whole; the request has not run.
+  kRequestQuarantined,
   /// The daemon is stopping; the request has not run.
   kStopping,
   /// The time limit has passed; the request has not run.
--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -9,22 +9,24 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/strong_id.h"
+#include "sycamoreford/relay/request_trait.h"
+#include "sycamoreford/relay/sound_history.h"
 #include "sycamoreford/relay/trait_evidence.h"
 
 namespace sycamoreford {
 
-/// What a daemon knows about a suspected prompt part, for the other daemons.
+/// What a daemon knows about a suspected trait, for the other daemons.
 /// Holds ages instead of times, since clocks differ between VMs.
 struct TraitReport {
   struct Crash {
     EndpointRun run;
     Duration age{0};
   };
-  PromptPartId part;
+  RequestTrait trait;
   std::vector<Crash> crashes;
-  /// Age of the latest evidence that the part is harmless, if there is any.
+  /// Age of the latest evidence that the trait is harmless, if there is any.
   std::optional<Duration> sound_age;
-  /// Time since the last request with the part.
+  /// Time since the last request with the trait.
   Duration request_age{0};
   /// Time since the last trial.
   std::optional<Duration> trial_age;
@@ -41,40 +43,46 @@
   kTrial,
 };
 
-/// Finds prompt parts under which endpoints crash, and quarantines them.
+/// Finds the traits of requests under which endpoints crash, and quarantines
+/// them.
 ///
-/// A part is suspected when several endpoints crashed while they began to
+/// A trait is suspected when several endpoints crashed while they began to
 /// respond to requests with it, and no such request has got past its beginning
 /// since. Requests that happen to run on a crashing endpoint suspect their
-/// parts as well. Therefore the part that explains most crashes is quarantined
-/// first, and the crashes that it explains do not count against other parts. If
-/// several parts explain the same crashes, those that were sound earlier are
-/// presumed harmless. Of the remaining ones, only requests that contain all of
-/// them are refused; others show which of the parts is harmless.
+/// traits as well. Therefore the trait that explains most crashes is
+/// quarantined first, and the crashes that it explains do not count against
+/// other traits. If several traits explain the same crashes, those that were
+/// sound earlier are presumed harmless. Of the remaining ones, only requests
+/// that contain all prompt parts among them, and are one of the whole requests
+/// among them if there are any, are refused; others show which of the traits is
+/// harmless.
 ///
 /// Daemons exchange reports. Merging them is commutative and idempotent, so
 /// that reports may be lost, reordered or repeated.
 ///
-/// Memory is bounded: only crashes add suspected parts, up to a limit, and only
-/// the parts that were sound most recently are remembered.
+/// Memory is bounded: only crashes add suspected traits, up to a limit, and
+/// only the traits that were sound most recently are remembered.
 ///
 /// Thread safety: none.
 class RequestQuarantine {
  public:
-  /// Number of endpoint runs that have to crash under a part. Two may crash by
+  /// Number of endpoint runs that have to crash under a trait. Two may crash by
   /// chance while a retried request runs on them.
   static constexpr std::size_t kMinCrashes = 3;
   /// Minimum time between the first and the last of these crashes. A failure of
-  /// many endpoints at once is over by then, and requests with a harmless part
-  /// have succeeded elsewhere.
+  /// many endpoints at once is over by then, and requests with a harmless trait
+  /// have succeeded elsewhere. Does not apply to a whole request that was not
+  /// sound lately: it is too rare to be on several endpoints by chance.
   static constexpr std::chrono::milliseconds kMinCrashSpan{1'000};
   /// Time after the first event of a response during which a crash is
   /// attributed to the request; later, the request counts as sound.
   static constexpr std::chrono::milliseconds kBeginning{300};
-  /// How long crashes are remembered while the part is not quarantined.
+  /// How long crashes are remembered while the trait is not quarantined.
   static constexpr std::chrono::seconds kCrashMemory{120};
-  /// How long a part is quarantined when there are no requests with it.
+  /// How long a trait is quarantined when there are no requests with it.
   static constexpr std::chrono::seconds kQuietTime{60};
+  /// Both times for a whole request, which may come back rarely.
+  static constexpr std::chrono::seconds kWholeRequestMemory{600};
   /// Time from the last crash or trial to the first trial, which follows soon
   /// in case the part was suspected by mistake.
   static constexpr std::chrono::milliseconds kFirstTrialDelay{1'000};
@@ -82,10 +90,17 @@
   static constexpr std::chrono::seconds kSecondTrialDelay{10};
   /// Added for each rank of a daemon, so that usually only one makes a trial.
   static constexpr std::chrono::milliseconds kTrialStagger{500};
-  /// Maximum number of suspected parts; the least suspicious one is dropped.
-  static constexpr std::size_t kMaxParts = 256;
-  /// Maximum number of sound parts that are remembered.
+  /// Trials of a whole request. Later ones would exceed the crashes that it may
+  /// cause, so it stays quarantined while it comes again.
+  static constexpr std::uint32_t kMaxWholeRequestTrials = 2;
+  /// Time from the last crash or trial to the second trial of a whole request.
+  static constexpr std::chrono::seconds kSecondWholeRequestTrialDelay{60};
+  /// Maximum number of suspected traits; the least suspicious one is dropped.
+  static constexpr std::size_t kMaxTraits = 512;
+  /// Maximum number of sound prompt parts that are remembered.
   static constexpr std::size_t kMaxSoundParts = 1'024;
+  /// Maximum number of sound whole requests that are remembered.
+  static constexpr std::size_t kMaxSoundRequests = 4'096;
   /// Maximum number of crashes in a report, the latest ones; it has to fit into
   /// a datagram of 512 bytes.
   static constexpr std::size_t kMaxReportedCrashes = 16;
@@ -93,44 +108,63 @@
   /// Called for each request of a caller before it is sent.
   ///
   /// \param rank position of this daemon among all daemons, from 0.
+  /// \param daemon_count number of daemons, at least 1.
   [[nodiscard]] QuarantineVerdict OnRequest(
-      const std::vector<PromptPartId>& parts,
+      const std::vector<RequestTrait>& traits,
       TimePoint now,
-      std::size_t rank);
+      std::size_t rank,
+      std::size_t daemon_count);
 
-  /// Whether a request with these parts must not be sent, or not once more.
+  /// Called when a request for which `OnRequest` has returned `kTrial` is sent.
+  void OnTrial(const std::vector<RequestTrait>& traits, TimePoint now);
+
+  /// Whether a request with these traits must not be sent, or not once more.
   [[nodiscard]] bool IsQuarantined(
-      const std::vector<PromptPartId>& parts) const;
+      const std::vector<RequestTrait>& traits) const {
+    return FindGroup(traits) != nullptr;
+  }
+
+  /// Whether such a request is quarantined as a whole, not only for parts of
+  /// its prompt.
+  [[nodiscard]] bool IsQuarantinedAsWhole(
+      const std::vector<RequestTrait>& traits) const;
+
+  /// Time until a whole request that is quarantined may be sent once, at some
+  /// daemon; nothing if it may not while it comes again, or is not quarantined
+  /// as a whole.
+  [[nodiscard]] std::optional<Duration> TimeUntilTrial(
+      const std::vector<RequestTrait>& traits,
+      TimePoint now) const;
 
   /// Called when an endpoint run crashed while it began to respond to a request
-  /// with these parts.
+  /// with these traits.
   ///
-  /// \returns the parts for which this is news.
-  std::vector<PromptPartId> OnCrash(const std::vector<PromptPartId>& parts,
+  /// \returns the traits for which this is news.
+  std::vector<RequestTrait> OnCrash(const std::vector<RequestTrait>& traits,
                                     EndpointRun run,
                                     TimePoint now);
 
-  /// Called when a request with these parts got past its beginning.
+  /// Called when a request with these traits got past its beginning.
   ///
   /// \param first_event_at when the response began.
-  /// \returns the suspected parts among them, for which this is news.
-  std::vector<PromptPartId> OnSound(const std::vector<PromptPartId>& parts,
+  /// \returns the suspected traits among them, for which this is news.
+  std::vector<RequestTrait> OnSound(const std::vector<RequestTrait>& traits,
                                     TimePoint first_event_at,
                                     TimePoint now);
 
   /// Merges a report of another daemon.
   void OnReport(const TraitReport& report, TimePoint now);
 
-  /// Drops parts that are no longer suspected.
+  /// Drops traits that are no longer suspected.
   void Expire(TimePoint now);
 
-  /// The report on a part; nothing if it is not suspected.
-  [[nodiscard]] std::optional<TraitReport> ReportOn(PromptPartId part,
+  /// The report on a trait; nothing if it is not suspected.
+  [[nodiscard]] std::optional<TraitReport> ReportOn(const RequestTrait& trait,
                                                     TimePoint now) const;
-  /// Suspected parts.
-  [[nodiscard]] std::vector<PromptPartId> parts() const;
-  /// Quarantined parts; those of one element are only refused together.
-  [[nodiscard]] const std::vector<std::vector<PromptPartId>>& groups()
+  /// Suspected traits.
+  [[nodiscard]] std::vector<RequestTrait> traits() const;
+  /// Quarantined traits; those of one element are only refused together.
+  [[nodiscard]] const std::vector<std::vector<RequestTrait>>& groups()
       const noexcept {
     return groups_;
   }
@@ -139,23 +173,45 @@
   using Suspect = TraitEvidence;
   using Crashes = TraitEvidence::Crashes;
 
-  Suspect& SuspectFor(PromptPartId part, TimePoint now);
-  void RememberSound(PromptPartId part, TimePoint at);
-  /// Makes room for a further part.
+  Suspect& SuspectFor(const RequestTrait& trait, TimePoint now);
+  [[nodiscard]] SoundHistory& SoundHistoryFor(const RequestTrait& trait) {
+    return IsWholeRequest(trait) ? sound_requests_ : sound_parts_;
+  }
+  /// Makes room for a further trait.
   void DropLeastSuspicious();
   /// Determines `groups_` from the evidence.
   void Evaluate();
-  [[nodiscard]] static bool IsEnough(const Crashes& crashes);
-  [[nodiscard]] bool IsTrialDue(const std::vector<PromptPartId>& group,
-                                const std::vector<PromptPartId>& parts,
+  /// Adds a group to `groups_`, or one for each whole request in it, since no
+  /// request is several of them.
+  void AddGroup(const std::vector<RequestTrait>& group);
+  /// Whether crashes, not all of which need be those of the suspect, suffice to
+  /// quarantine the trait.
+  [[nodiscard]] bool IsEnough(const RequestTrait& trait,
+                              const Crashes& crashes) const;
+  /// The quarantined traits that a request contains; null if there are none.
+  [[nodiscard]] const std::vector<RequestTrait>* FindGroup(
+      const std::vector<RequestTrait>& traits) const;
+  /// Whether a crash of a request with these traits would tell that the group
+  /// is its cause.
+  [[nodiscard]] bool IsDecisive(const std::vector<RequestTrait>& group,
+                                const std::vector<RequestTrait>& traits) const;
+  /// When the next trial of a group is due at the first daemon; nothing if
+  /// there is none.
+  [[nodiscard]] std::optional<TimePoint> NextTrial(
+      const std::vector<RequestTrait>& group) const;
+  /// Whether a trial may be made at this daemon.
+  [[nodiscard]] bool IsTrialDue(const std::vector<RequestTrait>& group,
                                 TimePoint now,
-                                std::size_t rank) const;
-  [[nodiscard]] bool IsInGroup(PromptPartId part) const;
-
-  std::map<PromptPartId, Suspect> suspects_;
-  std::vector<std::vector<PromptPartId>> groups_;
-  /// When parts were sound, as far as this daemon has seen.
-  std::map<PromptPartId, TimePoint> last_sound_;
+                                std::size_t rank,
+                                std::size_t daemon_count) const;
+  [[nodiscard]] bool IsInGroup(const RequestTrait& trait) const;
+
+  std::map<RequestTrait, Suspect> suspects_;
+  std::vector<std::vector<RequestTrait>> groups_;
+  /// When traits were sound, as far as this daemon has seen. In two histories,
+  /// since whole requests would displace the prompt parts.
+  SoundHistory sound_parts_{kMaxSoundParts};
+  SoundHistory sound_requests_{kMaxSoundRequests};
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/send_limits.h
+++ b/include/sycamoreford/relay/send_limits.h
@@ -13,6 +13,9 @@
 /// chains are repaired, with jitter so that callers do not retry all at once.
 inline constexpr std::chrono::milliseconds kMinRetryAfter{300};
 inline constexpr std::chrono::milliseconds kMaxRetryAfter{1'500};
+/// Retry-after time of a request that crashes endpoints and is not tried again
+/// while it comes.
+inline constexpr std::chrono::milliseconds kQuarantineRetryAfter{60'000};
 /// Returns a random retry-after time for a rejected request.
 ///
 /// \param earliest time before which a retry would be rejected as well.
--- a/src/adapters/crash_watch.cc
+++ b/src/adapters/crash_watch.cc
@@ -18,15 +18,15 @@
   const bool has_only_begun =
       !first_event_at_ ||
       now - *first_event_at_ < RequestQuarantine::kBeginning;
-  if (!is_sound_ && has_only_begun && !parts_.empty()) {
-    guard_.OnCrash(parts_, endpoint_, run_, now);
+  if (!is_sound_ && has_only_begun && !traits_.empty()) {
+    guard_.OnCrash(traits_, endpoint_, run_, now);
   }
 }
 
 void CrashWatch::ReportSound(TimePoint now) {
   if (!is_sound_) {
     is_sound_ = true;
-    guard_.OnSound(parts_, *first_event_at_, now);
+    guard_.OnSound(traits_, *first_event_at_, now);
   }
 }
 
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -69,10 +69,14 @@
   for (const TraitReport::Crash& crash : report.crashes) {
     crashes[ToHex(crash.run.value())] = ToMs(crash.age);
   }
-  json::object object = {{"part", ToHex(report.part.value())},
-                         {"crashes", crashes},
-                         {"seen", ToMs(report.request_age)},
-                         {"trials", report.trials}};
+  const auto* request = std::get_if<RequestFingerprint>(&report.trait);
+  json::object object = {
+      {request == nullptr ? "part" : "fingerprint",
+       ToHex(request == nullptr ? std::get<PromptPartId>(report.trait).value()
+                                : request->value())},
+      {"crashes", crashes},
+      {"seen", ToMs(report.request_age)},
+      {"trials", report.trials}};
   if (report.sound_age) {
     object["sound"] = ToMs(*report.sound_age);
   }
@@ -84,8 +88,14 @@
 
 TraitReport ToTraitReport(const json::object& object) {
   TraitReport report;
-  report.part = PromptPartId(
-      FromHex<std::uint64_t>(json::value_to<std::string>(object.at("part"))));
+  const auto id = [&](const char* key) {
+    return FromHex<std::uint64_t>(json::value_to<std::string>(object.at(key)));
+  };
+  if (object.contains("part")) {
+    report.trait = PromptPartId(id("part"));
+  } else {
+    report.trait = RequestFingerprint(id("fingerprint"));
+  }
   for (const auto& [run, age] : object.at("crashes").as_object()) {
     report.crashes.push_back(
         {EndpointRun(FromHex<std::uint32_t>(std::string(run))), ToAge(age)});
@@ -143,8 +153,8 @@
 
 std::string PeerMessage::ToText() const {
   json::object object;
-  if (prompt_part) {
-    object = ToJson(*prompt_part);
+  if (trait) {
+    object = ToJson(*trait);
   } else if (!limits.empty()) {
     object["limits"] = ToJson(limits);
   } else if (!leaving.empty()) {
@@ -173,8 +183,8 @@
     const json::value value = json::parse(text);
     const json::object& object = value.as_object();
     PeerMessage message;
-    if (object.contains("part")) {
-      message.prompt_part = ToTraitReport(object);
+    if (object.contains("part") || object.contains("fingerprint")) {
+      message.trait = ToTraitReport(object);
       return message;
     }
     if (const json::value* limits = object.if_contains("limits")) {
--- a/src/adapters/quarantine_guard.cc
+++ b/src/adapters/quarantine_guard.cc
@@ -9,38 +9,30 @@
 
 namespace sycamoreford {
 
-QuarantineVerdict QuarantineGuard::OnRequest(
-    const std::vector<PromptPartId>& parts,
-    TimePoint now,
-    std::size_t rank) {
-  const QuarantineVerdict verdict = quarantine_.OnRequest(parts, now, rank);
-  if (verdict == QuarantineVerdict::kTrial) {
-    LogEvent(Severity::kInfo, "prompt_part_trial")
-        .With("parts", ToString(parts));
-    TellNews(parts, now);
-  }
-  return verdict;
+void QuarantineGuard::OnTrial(const std::vector<RequestTrait>& traits,
+                              TimePoint now) {
+  quarantine_.OnTrial(traits, now);
+  Log(Severity::kInfo, "trial", traits);
+  TellNews(traits, now);
 }
 
-void QuarantineGuard::OnCrash(const std::vector<PromptPartId>& parts,
+void QuarantineGuard::OnCrash(const std::vector<RequestTrait>& traits,
                               const std::string& endpoint,
                               EndpointRun run,
                               TimePoint now) {
-  const auto news = quarantine_.OnCrash(parts, run, now);
+  const auto news = quarantine_.OnCrash(traits, run, now);
   if (news.empty()) {
     return;
   }
-  LogEvent(Severity::kInfo, "prompt_part_suspected")
-      .With("parts", ToString(news))
-      .With("endpoint", endpoint);
+  Log(Severity::kInfo, "suspected", news, endpoint);
   TellNews(news, now);
   LogChanges();
 }
 
-void QuarantineGuard::OnSound(const std::vector<PromptPartId>& parts,
+void QuarantineGuard::OnSound(const std::vector<RequestTrait>& traits,
                               TimePoint first_event_at,
                               TimePoint now) {
-  TellNews(quarantine_.OnSound(parts, first_event_at, now), now);
+  TellNews(quarantine_.OnSound(traits, first_event_at, now), now);
   LogChanges();
 }
 
@@ -56,22 +48,22 @@
     return !quarantine_.ReportOn(it.first, now);
   });
   std::vector<TraitReport> reports;
-  const auto add = [&](PromptPartId part) {
+  const auto add = [&](const RequestTrait& trait) {
     if (reports.size() < kMaxDueReports) {
-      reports.push_back(*quarantine_.ReportOn(part, now));
-      told_[part].sent_at = now;
+      reports.push_back(*quarantine_.ReportOn(trait, now));
+      told_[trait].sent_at = now;
     }
   };
   for (const auto& group : quarantine_.groups()) {
-    for (const PromptPartId part : group) {
-      if (now - told_[part].sent_at >= kReminderInterval) {
-        add(part);
+    for (const RequestTrait& trait : group) {
+      if (now - told_[trait].sent_at >= kReminderInterval) {
+        add(trait);
       }
     }
   }
-  for (const auto& [part, told] : told_) {
+  for (const auto& [trait, told] : told_) {
     if (now - told.news_at < kRepeatTime && told.sent_at != now) {
-      add(part);
+      add(trait);
     }
   }
   return reports;
@@ -81,44 +73,68 @@
     TimePoint now) const {
   std::vector<TraitReport> reports;
   for (const auto& group : quarantine_.groups()) {
-    for (const PromptPartId part : group) {
-      reports.push_back(*quarantine_.ReportOn(part, now));
+    for (const RequestTrait& trait : group) {
+      reports.push_back(*quarantine_.ReportOn(trait, now));
     }
   }
   return reports;
 }
 
-std::size_t QuarantineGuard::quarantined_count() const {
+std::size_t QuarantineGuard::quarantined_part_count() const {
   std::size_t count = 0;
   for (const auto& group : quarantine_.groups()) {
-    count += group.size();
+    count += ContainsWholeRequest(group) ? 0 : group.size();
   }
   return count;
 }
 
+std::size_t QuarantineGuard::quarantined_request_count() const {
+  const auto& groups = quarantine_.groups();
+  return static_cast<std::size_t>(
+      std::count_if(groups.begin(), groups.end(), ContainsWholeRequest));
+}
+
+EndpointRun QuarantineGuard::RunOf(const EndpointRunId& run) {
+  return EndpointRun(static_cast<std::uint32_t>(
+      XXH64(run.id.data(), run.id.size(), run.started_at_ms)));
+}
+
 EndpointRun QuarantineGuard::RunOf(const EndpointDirectory& directory,
                                    const std::string& endpoint) {
   const KnownEndpoint* known = directory.Find(endpoint);
-  const std::uint64_t started_at_ms =
-      known == nullptr ? 0 : known->record.started_at_ms;
-  return EndpointRun(static_cast<std::uint32_t>(
-      XXH64(endpoint.data(), endpoint.size(), started_at_ms)));
+  return RunOf(known == nullptr ? EndpointRunId{.id = endpoint}
+                                : ::sycamoreford::RunOf(known->record));
 }
 
-void QuarantineGuard::TellNews(const std::vector<PromptPartId>& parts,
+void QuarantineGuard::TellNews(const std::vector<RequestTrait>& traits,
                                TimePoint now) {
-  for (const PromptPartId part : parts) {
-    const auto report = quarantine_.ReportOn(part, now);
+  for (const RequestTrait& trait : traits) {
+    const auto report = quarantine_.ReportOn(trait, now);
     if (!report) {
       continue;
     }
-    told_[part] = {.news_at = now, .sent_at = now};
+    told_[trait] = {.news_at = now, .sent_at = now};
     if (notify_peers_) {
       notify_peers_(*report);
     }
   }
 }
 
+void QuarantineGuard::Log(Severity severity,
+                          const std::string& event,
+                          const std::vector<RequestTrait>& traits,
+                          const std::string& endpoint) {
+  const bool is_request = ContainsWholeRequest(traits);
+  LogEvent entry(severity, (is_request ? "request_" : "prompt_part_") + event);
+  entry.With("parts", PartsToString(traits));
+  if (is_request) {
+    entry.With("fingerprint", FingerprintsToString(traits));
+  }
+  if (!endpoint.empty()) {
+    entry.With("endpoint", endpoint);
+  }
+}
+
 void QuarantineGuard::LogChanges() {
   const auto& groups = quarantine_.groups();
   if (groups == logged_groups_) {
@@ -127,14 +143,12 @@
   for (const auto& group : groups) {
     if (std::find(logged_groups_.begin(), logged_groups_.end(), group) ==
         logged_groups_.end()) {
-      LogEvent(Severity::kWarning, "prompt_part_quarantined")
-          .With("parts", ToString(group));
+      Log(Severity::kWarning, "quarantined", group);
     }
   }
   for (const auto& group : logged_groups_) {
     if (std::find(groups.begin(), groups.end(), group) == groups.end()) {
-      LogEvent(Severity::kInfo, "prompt_part_released")
-          .With("parts", ToString(group));
+      Log(Severity::kInfo, "released", group);
     }
   }
   logged_groups_ = groups;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -20,6 +20,8 @@
       return "endpoint_limit";
     case Refusal::kPromptQuarantined:
       return "prompt_quarantined";
+    case Refusal::kRequestQuarantined:
+      return "request_quarantined";
     case Refusal::kStopping:
       return "stopping";
     case Refusal::kTooLate:
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -1,126 +1,181 @@
 #include "sycamoreford/relay/request_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <tuple>
 
 namespace sycamoreford {
 namespace {
 
-bool Contains(const std::vector<PromptPartId>& parts, PromptPartId part) {
-  return std::find(parts.begin(), parts.end(), part) != parts.end();
+bool Contains(const std::vector<RequestTrait>& traits,
+              const RequestTrait& trait) {
+  return std::find(traits.begin(), traits.end(), trait) != traits.end();
 }
 
-bool ContainsAll(const std::vector<PromptPartId>& parts,
-                 const std::vector<PromptPartId>& group) {
-  return std::all_of(group.begin(), group.end(),
-                     [&](PromptPartId part) { return Contains(parts, part); });
+bool ContainsAll(const std::vector<RequestTrait>& traits,
+                 const std::vector<RequestTrait>& group) {
+  return std::all_of(
+      group.begin(), group.end(),
+      [&](const RequestTrait& trait) { return Contains(traits, trait); });
 }
 
-/// Time from the last crash or trial to the next trial.
-Duration TrialDelay(std::uint32_t trials) {
+/// Time from the last crash or trial to the next trial; nothing if there is
+/// none.
+std::optional<Duration> TrialDelay(bool is_whole_request,
+                                   std::uint32_t trials) {
   constexpr std::uint32_t kMaxDoublings = 12;
   if (trials == 0) {
     return RequestQuarantine::kFirstTrialDelay;
   }
-  return RequestQuarantine::kSecondTrialDelay *
-         (1U << std::min(2 * (trials - 1), kMaxDoublings));
+  if (!is_whole_request) {
+    return RequestQuarantine::kSecondTrialDelay *
+           (1U << std::min(2 * (trials - 1), kMaxDoublings));
+  }
+  if (trials < RequestQuarantine::kMaxWholeRequestTrials) {
+    return RequestQuarantine::kSecondWholeRequestTrialDelay;
+  }
+  return std::nullopt;
 }
 
 }  // namespace
 
 QuarantineVerdict RequestQuarantine::OnRequest(
-    const std::vector<PromptPartId>& parts,
+    const std::vector<RequestTrait>& traits,
     TimePoint now,
-    std::size_t rank) {
-  for (const PromptPartId part : parts) {
-    const auto found = suspects_.find(part);
+    std::size_t rank,
+    std::size_t daemon_count) {
+  for (const RequestTrait& trait : traits) {
+    const auto found = suspects_.find(trait);
     if (found != suspects_.end()) {
       found->second.last_request = std::max(found->second.last_request, now);
     }
   }
-  const std::vector<PromptPartId>* quarantined = nullptr;
-  for (const auto& group : groups_) {
-    if (ContainsAll(parts, group)) {
-      if (quarantined != nullptr) {
-        return QuarantineVerdict::kRefuse;
-      }
-      quarantined = &group;
-    }
-  }
-  if (quarantined == nullptr) {
+  const auto is_in = [&](const auto& group) {
+    return ContainsAll(traits, group);
+  };
+  const auto group = std::find_if(groups_.begin(), groups_.end(), is_in);
+  if (group == groups_.end()) {
     return QuarantineVerdict::kAccept;
   }
-  if (!IsTrialDue(*quarantined, parts, now, rank)) {
-    return QuarantineVerdict::kRefuse;
+  const bool is_only_one =
+      std::find_if(std::next(group), groups_.end(), is_in) == groups_.end();
+  return is_only_one && IsDecisive(*group, traits) &&
+                 IsTrialDue(*group, now, rank, daemon_count)
+             ? QuarantineVerdict::kTrial
+             : QuarantineVerdict::kRefuse;
+}
+
+void RequestQuarantine::OnTrial(const std::vector<RequestTrait>& traits,
+                                TimePoint now) {
+  const auto* group = FindGroup(traits);
+  if (group == nullptr) {
+    return;
   }
-  for (const PromptPartId part : *quarantined) {
-    Suspect& suspect = suspects_.at(part);
+  for (const RequestTrait& trait : *group) {
+    Suspect& suspect = suspects_.at(trait);
     suspect.last_trial = now;
     ++suspect.trials;
   }
-  return QuarantineVerdict::kTrial;
 }
 
-bool RequestQuarantine::IsTrialDue(const std::vector<PromptPartId>& group,
-                                   const std::vector<PromptPartId>& parts,
-                                   TimePoint now,
-                                   std::size_t rank) const {
+bool RequestQuarantine::IsDecisive(
+    const std::vector<RequestTrait>& group,
+    const std::vector<RequestTrait>& traits) const {
   const std::size_t crashes = suspects_.at(group.front()).crashes.size();
-  // With another part that is as suspicious, a crash would not tell which of
-  // them caused it.
-  const bool is_decisive =
-      std::all_of(parts.begin(), parts.end(), [&](PromptPartId part) {
-        const auto found = suspects_.find(part);
-        return Contains(group, part) || found == suspects_.end() ||
-               found->second.crashes.size() < (crashes + 1) / 2;
-      });
-  if (!is_decisive) {
-    return false;
-  }
+  // With another trait that is as suspicious, a crash would not tell which of
+  // them caused it. A whole request explains its crashes better than its parts.
+  return ContainsWholeRequest(group) ||
+         std::all_of(
+             traits.begin(), traits.end(), [&](const RequestTrait& trait) {
+               const auto found = suspects_.find(trait);
+               return Contains(group, trait) || found == suspects_.end() ||
+                      found->second.crashes.size() < (crashes + 1) / 2;
+             });
+}
+
+std::optional<TimePoint> RequestQuarantine::NextTrial(
+    const std::vector<RequestTrait>& group) const {
   TimePoint last{};
   std::uint32_t trials = 0;
-  for (const PromptPartId part : group) {
-    const Suspect& suspect = suspects_.at(part);
+  for (const RequestTrait& trait : group) {
+    const Suspect& suspect = suspects_.at(trait);
     last = std::max({last, suspect.LastEvidence(),
                      suspect.last_trial.value_or(TimePoint{})});
     trials = std::max(trials, suspect.trials);
   }
-  return now - last >=
-         TrialDelay(trials) + kTrialStagger * static_cast<std::int64_t>(rank);
+  const auto delay = TrialDelay(ContainsWholeRequest(group), trials);
+  return delay ? std::optional(last + *delay) : std::nullopt;
 }
 
-bool RequestQuarantine::IsQuarantined(
-    const std::vector<PromptPartId>& parts) const {
-  return std::any_of(groups_.begin(), groups_.end(), [&](const auto& group) {
-    return ContainsAll(parts, group);
-  });
+bool RequestQuarantine::IsTrialDue(const std::vector<RequestTrait>& group,
+                                   TimePoint now,
+                                   std::size_t rank,
+                                   std::size_t daemon_count) const {
+  const auto due = NextTrial(group);
+  if (!due || now < *due) {
+    return false;
+  }
+  if (!ContainsWholeRequest(group)) {
+    return now - *due >= kTrialStagger * static_cast<std::int64_t>(rank);
+  }
+  // Whole requests come in bursts, at several daemons at once; these take
+  // turns.
+  const auto turn = static_cast<std::size_t>((now - *due) / kTrialStagger);
+  return turn % daemon_count == rank % daemon_count;
 }
 
-std::vector<PromptPartId> RequestQuarantine::OnCrash(
-    const std::vector<PromptPartId>& parts,
+std::optional<Duration> RequestQuarantine::TimeUntilTrial(
+    const std::vector<RequestTrait>& traits,
+    TimePoint now) const {
+  const auto* group = FindGroup(traits);
+  if (group == nullptr || !ContainsWholeRequest(*group)) {
+    return std::nullopt;
+  }
+  const auto due = NextTrial(*group);
+  return due ? std::optional(std::max(*due - now, Duration::zero()))
+             : std::nullopt;
+}
+
+const std::vector<RequestTrait>* RequestQuarantine::FindGroup(
+    const std::vector<RequestTrait>& traits) const {
+  const auto found = std::find_if(
+      groups_.begin(), groups_.end(),
+      [&](const auto& group) { return ContainsAll(traits, group); });
+  return found == groups_.end() ? nullptr : &*found;
+}
+
+bool RequestQuarantine::IsQuarantinedAsWhole(
+    const std::vector<RequestTrait>& traits) const {
+  const auto* group = FindGroup(traits);
+  return group != nullptr && ContainsWholeRequest(*group);
+}
+
+std::vector<RequestTrait> RequestQuarantine::OnCrash(
+    const std::vector<RequestTrait>& traits,
     EndpointRun run,
     TimePoint now) {
-  std::vector<PromptPartId> news;
-  for (const PromptPartId part : parts) {
-    Suspect& suspect = SuspectFor(part, now);
+  std::vector<RequestTrait> news;
+  for (const RequestTrait& trait : traits) {
+    Suspect& suspect = SuspectFor(trait, now);
     suspect.last_request = std::max(suspect.last_request, now);
     if (suspect.AddCrash(run, now)) {
-      news.push_back(part);
+      news.push_back(trait);
     }
   }
   Evaluate();
   return news;
 }
 
-std::vector<PromptPartId> RequestQuarantine::OnSound(
-    const std::vector<PromptPartId>& parts,
+std::vector<RequestTrait> RequestQuarantine::OnSound(
+    const std::vector<RequestTrait>& traits,
     TimePoint first_event_at,
     TimePoint now) {
-  std::vector<PromptPartId> news;
-  for (const PromptPartId part : parts) {
-    RememberSound(part, first_event_at);
-    const auto found = suspects_.find(part);
-    if (found == suspects_.end() || Contains(news, part)) {
+  std::vector<RequestTrait> news;
+  for (const RequestTrait& trait : traits) {
+    SoundHistoryFor(trait).Add(trait, first_event_at);
+    const auto found = suspects_.find(trait);
+    if (found == suspects_.end() || Contains(news, trait)) {
       continue;
     }
     Suspect& suspect = found->second;
@@ -128,7 +183,7 @@
     const std::size_t crashes = suspect.crashes.size();
     suspect.ApplySound(first_event_at);
     if (suspect.crashes.size() != crashes) {
-      news.push_back(part);
+      news.push_back(trait);
     }
   }
   if (!news.empty()) {
@@ -138,10 +193,10 @@
 }
 
 void RequestQuarantine::OnReport(const TraitReport& report, TimePoint now) {
-  if (!suspects_.contains(report.part) && report.crashes.empty()) {
+  if (!suspects_.contains(report.trait) && report.crashes.empty()) {
     return;
   }
-  Suspect& suspect = SuspectFor(report.part, now);
+  Suspect& suspect = SuspectFor(report.trait, now);
   suspect.last_request =
       std::max(suspect.last_request, now - report.request_age);
   if (report.trial_age) {
@@ -158,63 +213,73 @@
   Evaluate();
 }
 
-RequestQuarantine::Suspect& RequestQuarantine::SuspectFor(PromptPartId part,
-                                                          TimePoint now) {
-  if (suspects_.size() >= kMaxParts && !suspects_.contains(part)) {
+RequestQuarantine::Suspect& RequestQuarantine::SuspectFor(
+    const RequestTrait& trait,
+    TimePoint now) {
+  if (suspects_.size() >= kMaxTraits && !suspects_.contains(trait)) {
     Expire(now);
     DropLeastSuspicious();
   }
-  const auto [entry, is_new] = suspects_.try_emplace(part);
-  const auto sound = last_sound_.find(part);
-  if (is_new && sound != last_sound_.end()) {
-    entry->second.last_sound = sound->second;
+  const auto [entry, is_new] = suspects_.try_emplace(trait);
+  if (is_new) {
+    entry->second.last_sound = SoundHistoryFor(trait).Find(trait);
   }
   return entry->second;
 }
 
-void RequestQuarantine::RememberSound(PromptPartId part, TimePoint at) {
-  TimePoint& last = last_sound_[part];
-  last = std::max(last, at);
-  if (last_sound_.size() > kMaxSoundParts) {
-    last_sound_.erase(std::min_element(
-        last_sound_.begin(), last_sound_.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
-  }
-}
-
 void RequestQuarantine::DropLeastSuspicious() {
   const auto rank = [&](const auto& entry) {
     return std::tuple(IsInGroup(entry.first), entry.second.crashes.size(),
                       entry.second.LastEvidence());
   };
-  while (suspects_.size() >= kMaxParts) {
+  while (suspects_.size() >= kMaxTraits) {
     suspects_.erase(std::min_element(
         suspects_.begin(), suspects_.end(),
         [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
   }
 }
 
-bool RequestQuarantine::IsInGroup(PromptPartId part) const {
+bool RequestQuarantine::IsInGroup(const RequestTrait& trait) const {
   return std::any_of(groups_.begin(), groups_.end(),
-                     [&](const auto& group) { return Contains(group, part); });
+                     [&](const auto& group) { return Contains(group, trait); });
 }
 
-bool RequestQuarantine::IsEnough(const Crashes& crashes) {
+bool RequestQuarantine::IsEnough(const RequestTrait& trait,
+                                 const Crashes& crashes) const {
   if (crashes.size() < kMinCrashes) {
     return false;
   }
+  if (IsWholeRequest(trait) && !suspects_.at(trait).last_sound) {
+    return true;
+  }
   const auto [first, last] = std::minmax_element(
       crashes.begin(), crashes.end(),
       [](const auto& a, const auto& b) { return a.second < b.second; });
   return last->second - first->second >= kMinCrashSpan;
 }
 
+void RequestQuarantine::AddGroup(const std::vector<RequestTrait>& group) {
+  if (!ContainsWholeRequest(group)) {
+    groups_.push_back(group);
+    return;
+  }
+  for (const RequestTrait& request : group) {
+    if (IsWholeRequest(request)) {
+      auto& added = groups_.emplace_back();
+      std::copy_if(group.begin(), group.end(), std::back_inserter(added),
+                   [&](const RequestTrait& trait) {
+                     return !IsWholeRequest(trait) || trait == request;
+                   });
+    }
+  }
+}
+
 void RequestQuarantine::Evaluate() {
   groups_.clear();
-  std::map<PromptPartId, Crashes> unexplained;
-  for (const auto& [part, suspect] : suspects_) {
-    if (IsEnough(suspect.crashes)) {
-      unexplained.emplace(part, suspect.crashes);
+  std::map<RequestTrait, Crashes> unexplained;
+  for (const auto& [trait, suspect] : suspects_) {
+    if (IsEnough(trait, suspect.crashes)) {
+      unexplained.emplace(trait, suspect.crashes);
     }
   }
   while (!unexplained.empty()) {
@@ -227,55 +292,74 @@
     const auto is_same_run = [](const auto& a, const auto& b) {
       return a.first == b.first;
     };
-    std::vector<PromptPartId> group;
-    for (const auto& [part, crashes] : unexplained) {
+    std::vector<RequestTrait> group;
+    for (const auto& [trait, crashes] : unexplained) {
       if (std::equal(crashes.begin(), crashes.end(), explained.begin(),
                      explained.end(), is_same_run)) {
-        group.push_back(part);
+        group.push_back(trait);
       }
     }
-    const auto was_sound = [&](PromptPartId part) {
-      return suspects_.at(part).last_sound.has_value();
+    const auto was_sound = [&](const RequestTrait& trait) {
+      return suspects_.at(trait).last_sound.has_value();
     };
     if (!std::all_of(group.begin(), group.end(), was_sound)) {
       std::erase_if(group, was_sound);
     }
-    groups_.push_back(std::move(group));
-    for (auto& [part, crashes] : unexplained) {
+    AddGroup(group);
+    for (auto& [trait, crashes] : unexplained) {
       std::erase_if(crashes, [&](const auto& crash) {
         return explained.contains(crash.first);
       });
     }
-    std::erase_if(unexplained,
-                  [](const auto& it) { return !IsEnough(it.second); });
+    std::erase_if(unexplained, [&](const auto& it) {
+      return !IsEnough(it.first, it.second);
+    });
   }
 }
 
 void RequestQuarantine::Expire(TimePoint now) {
-  for (auto& [part, suspect] : suspects_) {
-    if (!IsInGroup(part)) {
+  const auto memory = [](const RequestTrait& trait,
+                         std::chrono::seconds of_part) {
+    return IsWholeRequest(trait) ? kWholeRequestMemory : of_part;
+  };
+  // What a forgotten trait explains must not count against others afterwards.
+  std::set<EndpointRun> explained;
+  for (const auto& [trait, suspect] : suspects_) {
+    if (IsInGroup(trait) &&
+        now - suspect.last_request > memory(trait, kQuietTime)) {
+      for (const auto& [run, at] : suspect.crashes) {
+        explained.insert(run);
+      }
+    }
+  }
+  for (auto& [trait, suspect] : suspects_) {
+    if (!IsInGroup(trait)) {
+      const Duration crash_memory = memory(trait, kCrashMemory);
       std::erase_if(suspect.crashes, [&](const auto& crash) {
-        return now - crash.second > kCrashMemory;
+        return now - crash.second > crash_memory ||
+               explained.contains(crash.first);
       });
     }
   }
   std::erase_if(suspects_, [&](const auto& entry) {
-    const Suspect& suspect = entry.second;
-    return IsInGroup(entry.first) ? now - suspect.last_request > kQuietTime
-                                  : now - suspect.LastEvidence() > kCrashMemory;
+    const auto& [trait, suspect] = entry;
+    return IsInGroup(trait)
+               ? now - suspect.last_request > memory(trait, kQuietTime)
+               : now - suspect.LastEvidence() > memory(trait, kCrashMemory);
   });
   Evaluate();
 }
 
-std::optional<TraitReport> RequestQuarantine::ReportOn(PromptPartId part,
-                                                       TimePoint now) const {
-  const auto found = suspects_.find(part);
+std::optional<TraitReport> RequestQuarantine::ReportOn(
+    const RequestTrait& trait,
+    TimePoint now) const {
+  const auto found = suspects_.find(trait);
   if (found == suspects_.end()) {
     return std::nullopt;
   }
   const Suspect& suspect = found->second;
   TraitReport report;
-  report.part = part;
+  report.trait = trait;
   for (const auto& [run, at] : suspect.crashes) {
     report.crashes.push_back({run, now - at});
   }
@@ -295,12 +379,12 @@
   return report;
 }
 
-std::vector<PromptPartId> RequestQuarantine::parts() const {
-  std::vector<PromptPartId> parts;
-  for (const auto& [part, suspect] : suspects_) {
-    parts.push_back(part);
+std::vector<RequestTrait> RequestQuarantine::traits() const {
+  std::vector<RequestTrait> traits;
+  for (const auto& [trait, suspect] : suspects_) {
+    traits.push_back(trait);
   }
-  return parts;
+  return traits;
 }
 
 }  // namespace sycamoreford
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -408,27 +408,27 @@
   }
   SECTION("about prompt parts are restored from their text") {
     PeerMessage message;
-    message.prompt_part.emplace();
-    message.prompt_part->part = PromptPartId(0x5c1e07a2);
-    message.prompt_part->request_age = milliseconds(20);
-    message.prompt_part->trials = 2;
+    message.trait.emplace();
+    message.trait->trait = PromptPartId(0x5c1e07a2);
+    message.trait->request_age = milliseconds(20);
+    message.trait->trials = 2;
     const std::uint32_t crashes =
         GENERATE(0U, 2U, std::uint32_t{RequestQuarantine::kMaxReportedCrashes});
     for (std::uint32_t i = 0; i < crashes; ++i) {
-      message.prompt_part->crashes.push_back(
+      message.trait->crashes.push_back(
           {EndpointRun(~i), std::chrono::hours(23)});
     }
     if (crashes > 0) {
-      message.prompt_part->sound_age = std::chrono::hours(22);
-      message.prompt_part->trial_age = std::chrono::hours(21);
+      message.trait->sound_age = std::chrono::hours(22);
+      message.trait->trial_age = std::chrono::hours(21);
     }
     REQUIRE(message.ToText().size() <= 512);
-    const auto read = PeerMessage::Parse(message.ToText())->prompt_part;
-    REQUIRE(read->part == message.prompt_part->part);
+    const auto read = PeerMessage::Parse(message.ToText())->trait;
+    REQUIRE(read->trait == message.trait->trait);
     REQUIRE(read->request_age == milliseconds(20));
     REQUIRE(read->trials == 2);
-    REQUIRE(read->sound_age == message.prompt_part->sound_age);
-    REQUIRE(read->trial_age == message.prompt_part->trial_age);
+    REQUIRE(read->sound_age == message.trait->sound_age);
+    REQUIRE(read->trial_age == message.trait->trial_age);
     REQUIRE(read->crashes.size() == crashes);
     for (std::uint32_t i = 0; i < crashes; ++i) {
       REQUIRE(read->crashes[i].run == EndpointRun(~i));
--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -16,12 +16,12 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using Parts = std::vector<PromptPartId>;
+using Parts = std::vector<RequestTrait>;
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
-const PromptPartId kCulprit{0xdead};
-const PromptPartId kFirst{1};
-const PromptPartId kOther{2};
+const RequestTrait kCulprit = PromptPartId(0xdead);
+const RequestTrait kFirst = PromptPartId(1);
+const RequestTrait kOther = PromptPartId(2);
 
 TimePoint At(int ms) {
   return kStart + milliseconds(ms);
@@ -89,16 +89,17 @@
     SECTION("it is forgotten when there are no more requests with it") {
       quarantine.Expire(At(last) + RequestQuarantine::kQuietTime + seconds(1));
       REQUIRE_FALSE(quarantine.IsQuarantined({kCulprit}));
-      REQUIRE(quarantine.parts().empty());
+      REQUIRE(quarantine.traits().empty());
     }
     SECTION("it stays quarantined while there are requests with it") {
       int trials = 0;
       for (int ms = last; ms < last + 200'000; ms += 100) {
         quarantine.Expire(At(ms));
-        const auto verdict = quarantine.OnRequest({kCulprit}, At(ms), 0);
+        const auto verdict = quarantine.OnRequest({kCulprit}, At(ms), 0, 1);
         REQUIRE(verdict != QuarantineVerdict::kAccept);
         if (verdict == QuarantineVerdict::kTrial) {
           ++trials;
+          quarantine.OnTrial({kCulprit}, At(ms));
           quarantine.OnCrash({kCulprit},
                              Run(static_cast<std::uint32_t>(100 + trials)),
                              At(ms + 50));
@@ -110,7 +111,7 @@
     SECTION("a daemon of higher rank waits longer for a trial") {
       const auto verdict = [&](int ms, std::size_t rank) {
         RequestQuarantine copy = quarantine;
-        return copy.OnRequest({kCulprit}, At(last + ms), rank);
+        return copy.OnRequest({kCulprit}, At(last + ms), rank, 4);
       };
       REQUIRE(verdict(900, 0) == QuarantineVerdict::kRefuse);
       REQUIRE(verdict(1'000, 0) == QuarantineVerdict::kTrial);
@@ -175,11 +176,12 @@
     crash(9, {{kFirst}}, last + 100);
     REQUIRE(quarantine.IsQuarantined({kFirst, kOther}));
     const TimePoint later = At(last + 1'200);
-    REQUIRE(quarantine.OnRequest({kFirst, kCulprit}, later, 0) ==
+    REQUIRE(quarantine.OnRequest({kFirst, kCulprit}, later, 0, 1) ==
             QuarantineVerdict::kRefuse);
-    REQUIRE(quarantine.OnRequest({kFirst, kOther}, later, 0) ==
+    REQUIRE(quarantine.OnRequest({kFirst, kOther}, later, 0, 1) ==
             QuarantineVerdict::kTrial);
-    REQUIRE(quarantine.OnRequest({kFirst, kOther}, later, 0) ==
+    quarantine.OnTrial({kFirst, kOther}, later);
+    REQUIRE(quarantine.OnRequest({kFirst, kOther}, later, 0, 1) ==
             QuarantineVerdict::kRefuse);
     (void)quarantine.OnSound({kFirst, kOther}, later, later);
     REQUIRE_FALSE(quarantine.IsQuarantined({kFirst}));
@@ -205,17 +207,18 @@
     quarantine.OnCrash({PromptPartId(10 + i)}, Run(i),
                        At(70'000 + static_cast<int>(i)));
   }
-  REQUIRE(quarantine.parts().size() <= RequestQuarantine::kMaxParts);
+  REQUIRE(quarantine.traits().size() <= RequestQuarantine::kMaxTraits);
   REQUIRE(quarantine.IsQuarantined({kCulprit}));
 
   SECTION("requests add nothing to it") {
-    const auto before = quarantine.parts();
+    const auto before = quarantine.traits();
     for (std::uint32_t i = 0; i < 10'000; ++i) {
-      (void)quarantine.OnRequest({PromptPartId(1'000'000 + i)}, At(90'000), 0);
+      (void)quarantine.OnRequest({PromptPartId(1'000'000 + i)}, At(90'000), 0,
+                                 1);
       (void)quarantine.OnSound({PromptPartId(1'000'000 + i)}, At(90'000),
                                At(90'000));
     }
-    REQUIRE(quarantine.parts() == before);
+    REQUIRE(quarantine.traits() == before);
   }
 }
 
@@ -224,7 +227,7 @@
     const RequestQuarantine& quarantine,
     TimePoint now) {
   std::vector<std::vector<EndpointRun>> all;
-  for (const PromptPartId part : quarantine.parts()) {
+  for (const RequestTrait& part : quarantine.traits()) {
     auto& runs = all.emplace_back();
     const auto report = quarantine.ReportOn(part, now);
     for (const auto& crash : report->crashes) {
@@ -241,7 +244,7 @@
     std::vector<TraitReport> reports;
     for (int i = 0; i < count; ++i) {
       TraitReport report;
-      report.part = PromptPartId(*rc::gen::inRange<std::uint64_t>(1, 5));
+      report.trait = PromptPartId(*rc::gen::inRange<std::uint64_t>(1, 5));
       const auto crashes = *rc::gen::inRange(1, 4);
       for (int j = 0; j < crashes; ++j) {
         const auto run = *rc::gen::inRange<std::uint32_t>(1, 10);
@@ -311,8 +314,10 @@
   /// Whether the request was sent; `false` if it was refused as quarantined.
   bool Send(const Parts& parts) {
     const auto daemon = static_cast<std::size_t>(Random(kDaemons));
-    const auto verdict = daemons_[daemon].OnRequest(parts, now_, daemon);
+    const auto verdict =
+        daemons_[daemon].OnRequest(parts, now_, daemon, kDaemons);
     if (verdict == QuarantineVerdict::kTrial) {
+      daemons_[daemon].OnTrial(parts, now_);
       Tell(daemon, parts);
     }
     if (verdict == QuarantineVerdict::kRefuse) {
@@ -392,12 +397,12 @@
 
   void Broadcast(std::size_t daemon) {
     daemons_[daemon].Expire(now_);
-    Tell(daemon, daemons_[daemon].parts());
+    Tell(daemon, daemons_[daemon].traits());
     Schedule(now_ + kStatusInterval, [this, daemon] { Broadcast(daemon); });
   }
 
   void Tell(std::size_t from, const Parts& parts) {
-    for (const PromptPartId part : parts) {
+    for (const RequestTrait& part : parts) {
       const auto report = daemons_[from].ReportOn(part, now_);
       for (std::size_t to = 0; to < daemons_.size() && report; ++to) {
         if (to != from && Random(100) >= loss_percent_) {
