Believe only daemons that are in the roster

A host that is no daemon could draw callers' requests with their keys to itself by stating that it serves, or have requests refused and endpoints passed over, by one datagram.

Cause: PeerService::OnMessage took any sender for a daemon; only the other direction was checked.

--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -45,7 +45,7 @@
   PeerService(boost::asio::io_context& context,
               RelayState& state,
               FleetFollower<Store, TheClock>& follower,
-              const RosterService<Table, TheClock>& roster,
+              RosterService<Table, TheClock>& roster,
               const TheClock& clock,
               const std::string& address,
               Decoder decode)
@@ -220,13 +220,16 @@
     }
   }
 
-  /// A daemon that has just started is not listed yet, so that it gets no
-  /// messages but replies to its own.
-  void ReplyToUnlisted(const std::string& from) {
-    const TimePoint now = clock_.Now();
-    if (IsListed(from)) {
+  /// Replies to the status of a sender that is not listed. It may be a daemon
+  /// that has just started and gets no other messages yet. It is not believed
+  /// until the roster, which is read again, lists it.
+  void OnUnlisted(const PeerMessage& message, const std::string& from) {
+    roster_.CountSoon();
+    const bool is_status = !message.service.empty();
+    if (!is_status) {
       return;
     }
+    const TimePoint now = clock_.Now();
     for (const auto& report : state_.quarantine().QuarantineReports(now)) {
       SendReport({from}, report);
     }
@@ -242,13 +245,7 @@
     return std::find(listed.begin(), listed.end(), address) != listed.end();
   }
 
-  /// An endpoint that is wrongly believed to be leaving is lost, so only listed
-  /// daemons are believed.
-  void OnLeaving(const std::vector<EndpointRunId>& runs,
-                 const std::string& from) {
-    if (!IsListed(from)) {
-      return;
-    }
+  void OnLeaving(const std::vector<EndpointRunId>& runs) {
     for (const EndpointRunId& run : runs) {
       leaving_announcer_.OnTold(run);
       state_.OnLeaving(run, LeavingSource::kPeer);
@@ -256,6 +253,10 @@
   }
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
+    if (!IsListed(from)) {
+      OnUnlisted(message, from);
+      return;
+    }
     if (message.trait) {
       state_.quarantine().OnReport(*message.trait, clock_.Now());
       return;
@@ -267,7 +268,7 @@
       return;
     }
     if (!message.leaving.empty()) {
-      OnLeaving(message.leaving, from);
+      OnLeaving(message.leaving);
       return;
     }
     if (message.slowness) {
@@ -280,7 +281,6 @@
       state_.Inspect(message.endpoint);
       return;
     }
-    ReplyToUnlisted(from);
     state_.RetryBudgetFor(message.service)
         .OnUsageReport(from, message.usage, clock_.Now());
     if (message.status) {
@@ -323,7 +323,7 @@
   boost::asio::io_context& context_;
   RelayState& state_;
   FleetFollower<Store, TheClock>& follower_;
-  const RosterService<Table, TheClock>& roster_;
+  RosterService<Table, TheClock>& roster_;
   const TheClock& clock_;
   Decoder decode_;
   std::function<PeerStatus(const std::string&)> status_;
--- a/include/sycamoreford/adapters/roster_service.h
+++ b/include/sycamoreford/adapters/roster_service.h
@@ -43,12 +43,20 @@
         renew_at = clock_.Now() + DaemonRoster::kRenewalInterval;
       }
       co_await CountDaemons();
-      co_await Pause(is_count_settled_
-                         ? kCountInterval * state_.interval_factor()
-                         : kStartupCountInterval);
+      is_count_requested_ = false;
+      const TimePoint next =
+          clock_.Now() + (is_count_settled_
+                              ? kCountInterval * state_.interval_factor()
+                              : kStartupCountInterval);
+      do {
+        co_await Pause(kStartupCountInterval);
+      } while (clock_.Now() < next && !is_count_requested_);
     }
   }
 
+  /// Counts the daemons at the next opportunity, since one may have been added.
+  void CountSoon() noexcept { is_count_requested_ = true; }
+
   [[nodiscard]] const DaemonRoster& roster() const noexcept { return roster_; }
 
  private:
@@ -99,6 +107,7 @@
   std::string address_;
   DaemonRoster roster_;
   bool is_count_settled_ = false;
+  bool is_count_requested_ = false;
   TimePoint started_at_{};
 };
 
