Do not wait for the body of a response to HEAD

HEAD to a plain service got 502: the length in the endpoint's response is that of the body that GET would have, and this body was awaited until the connection ended. The parser is told to skip it.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -204,6 +204,8 @@
   }
   state_->parser.header_limit(kMaxHeaderBytes);
   state_->parser.body_limit(boost::none);
+  // Its length is that of the body that GET would have.
+  state_->parser.skip(request.method == "HEAD");
   co_return std::nullopt;
 }
 
