--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -19,6 +19,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "impl/beast_exchange.h"
 #include "impl/parse_address.h"
 #include "sycamoreford/core/log.h"
 
@@ -29,6 +30,8 @@
 namespace http = beast::http;
 using asio::use_awaitable;
 using asio::ip::tcp;
+using impl::BeastExchange;
+using impl::kHttp11;
 
 std::string_view HttpFields::Get(std::string_view name) const noexcept {
   for (const auto& [key, value] : fields_) {
@@ -165,116 +168,8 @@
 /// Maximum time to wait, after the last response, until the client closes the
 /// connection.
 constexpr std::chrono::milliseconds kLingerTimeout{1'000};
-constexpr unsigned kHttp11 = 11;
 constexpr std::chrono::seconds kOverloadRetryAfter{1};
 
-/// `HttpExchange` on a Beast stream.
-class BeastExchange final : public HttpExchange {
- public:
-  BeastExchange(beast::tcp_stream& stream,
-                HttpRequest request,
-                bool keep_alive,
-                const std::atomic<bool>& keep_alive_disabled,
-                unsigned version,
-                std::chrono::milliseconds write_timeout)
-      : stream_(stream),
-        request_(std::move(request)),
-        keep_alive_(keep_alive),
-        keep_alive_disabled_(keep_alive_disabled),
-        version_(version),
-        write_timeout_(write_timeout) {}
-
-  [[nodiscard]] const HttpRequest& request() const noexcept override {
-    return request_;
-  }
-
-  [[nodiscard]] std::string client_ip() const override {
-    beast::error_code error;
-    const auto endpoint = stream_.socket().remote_endpoint(error);
-    return error ? std::string() : endpoint.address().to_string();
-  }
-
-  asio::awaitable<void> Respond(HttpResponse response) override {
-    http::response<http::string_body> message(
-        static_cast<http::status>(response.status), version_);
-    SetFields(message, response);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
-    response_started_ = true;
-    stream_.expires_after(write_timeout_);
-    if (request_.method == "HEAD") {
-      http::response_serializer<http::string_body> serializer(message);
-      co_await http::async_write_header(stream_, serializer, use_awaitable);
-    } else {
-      co_await http::async_write(stream_, message, use_awaitable);
-    }
-    complete_ = true;
-  }
-
-  asio::awaitable<void> BeginStream(HttpResponse header) override {
-    http::response<http::empty_body> message(
-        static_cast<http::status>(header.status), version_);
-    SetFields(message, header);
-    chunked_ = version_ >= kHttp11;
-    message.chunked(chunked_);
-    http::response_serializer<http::empty_body> serializer(message);
-    response_started_ = true;
-    stream_.expires_after(write_timeout_);
-    co_await http::async_write_header(stream_, serializer, use_awaitable);
-  }
-
-  asio::awaitable<void> SendChunk(std::string_view bytes) override {
-    stream_.expires_after(write_timeout_);
-    const auto buffer = asio::buffer(bytes.data(), bytes.size());
-    if (chunked_) {
-      co_await asio::async_write(stream_, http::make_chunk(buffer),
-                                 use_awaitable);
-    } else {
-      co_await asio::async_write(stream_, buffer, use_awaitable);
-    }
-  }
-
-  asio::awaitable<void> EndStream() override {
-    if (chunked_) {
-      stream_.expires_after(write_timeout_);
-      co_await asio::async_write(stream_, http::make_chunk_last(),
-                                 use_awaitable);
-    }
-    complete_ = chunked_;
-  }
-
-  [[nodiscard]] bool response_started() const noexcept override {
-    return response_started_;
-  }
-  /// Whether a further request may follow on this connection.
-  [[nodiscard]] bool may_continue() const noexcept {
-    return complete_ && keep_alive_;
-  }
-
- private:
-  template <class Body>
-  void SetFields(http::response<Body>& message, const HttpResponse& response) {
-    if (!response.content_type.empty()) {
-      message.set(http::field::content_type, response.content_type);
-    }
-    for (const auto& [name, value] : response.fields) {
-      message.insert(name, value);
-    }
-    keep_alive_ = keep_alive_ && !keep_alive_disabled_;
-    message.keep_alive(keep_alive_);
-  }
-
-  beast::tcp_stream& stream_;
-  HttpRequest request_;
-  bool keep_alive_;
-  const std::atomic<bool>& keep_alive_disabled_;
-  unsigned version_;
-  std::chrono::milliseconds write_timeout_;
-  bool response_started_ = false;
-  bool chunked_ = false;
-  bool complete_ = false;
-};
-
 HttpRequest ToRequest(const http::request<http::string_body>& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
