Reset the connection when a stream to an HTTP/1.0 caller breaks off

Such a caller gets a stream without chunks, whose end is the end of the connection: one that was broken off looked complete.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -360,6 +360,13 @@
   co_return std::nullopt;
 }
 
+/// Closes a connection so that the client sees that it was broken off.
+void Reset(beast::tcp_stream& stream) {
+  beast::error_code ignored;
+  stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  stream.close();
+}
+
 /// Reads and handles one request.
 ///
 /// \returns whether the connection may be used for a further request.
@@ -377,6 +384,9 @@
                          message->keep_alive(), state->keep_alive_disabled,
                          message->version(), state->limits.write_timeout);
   co_await HandleExchange(state, connection.stream, exchange);
+  if (exchange.needs_reset()) {
+    Reset(connection.stream);
+  }
   co_return exchange.may_continue();
 }
 
--- a/src/impl/beast_exchange.h
+++ b/src/impl/beast_exchange.h
@@ -66,6 +66,7 @@
   }
 
   boost::asio::awaitable<void> BeginStream(HttpResponse header) override {
+    is_stream_ = true;
     boost::beast::http::response<boost::beast::http::empty_body> message(
         static_cast<boost::beast::http::status>(header.status), version_);
     SetFields(message, header);
@@ -100,11 +101,17 @@
                                         boost::asio::use_awaitable);
     }
     complete_ = chunked_;
+    stream_ended_ = true;
   }
 
   [[nodiscard]] bool response_started() const noexcept override {
     return response_started_;
   }
+  /// Whether the client can tell only from the end of the connection that a
+  /// stream is over, which was broken off.
+  [[nodiscard]] bool needs_reset() const noexcept {
+    return is_stream_ && !chunked_ && !stream_ended_;
+  }
   /// Whether a further request may follow on this connection.
   [[nodiscard]] bool may_continue() const noexcept {
     return complete_ && keep_alive_;
@@ -134,6 +141,8 @@
   bool response_started_ = false;
   bool chunked_ = false;
   bool complete_ = false;
+  bool is_stream_ = false;
+  bool stream_ended_ = false;
 };
 
 }  // namespace sycamoreford::impl
