--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -256,8 +256,8 @@
   }
 
   /// The whole response of an attempt, for the caller or another daemon.
-  static HttpResponse TakeResponse(const RequestContext& context,
-                                   ToEndpoint& attempt) {
+  static HttpResponse ResponseOf(const RequestContext& context,
+                                 ToEndpoint& attempt) {
     HttpResponse response = attempt.TakeResponse();
     MarkLeaving(context, attempt.head(), response);
     return response;
@@ -294,9 +294,9 @@
         RecordOutcome(context, attempt->head().IsServerError()
                                    ? "endpoint_failed"
                                    : "answered");
-        return TakeResponse(context, *attempt);
+        return ResponseOf(context, *attempt);
       }
-      error_response = TakeResponse(context, *attempt);
+      error_response = ResponseOf(context, *attempt);
       RecordFailedSend(context, AttemptStep::kLost, attempt->endpoint());
     }
     return std::nullopt;
@@ -318,6 +318,7 @@
     }
   }
 
+  /// Of an attempt through another daemon, only a sound response is reported.
   [[nodiscard]] CrashWatch CrashWatchFor(const RequestContext& context,
                                          const ToEndpoint& attempt) {
     return {
--- a/include/sycamoreford/adapters/leaving_announcer.h
+++ b/include/sycamoreford/adapters/leaving_announcer.h
@@ -34,8 +34,8 @@
   /// Such a message fits into a datagram with ids of usual length.
   static constexpr std::size_t kRunsPerMessage = 4;
 
-  /// Precondition: `context` outlives this object, which must not be destroyed
-  /// before it has ended or was destroyed.
+  /// Precondition: `context` outlives this object, and does not run after it is
+  /// destroyed.
   LeavingAnnouncer(boost::asio::io_context& context, Sender send)
       : context_(context), send_(std::move(send)) {}
 
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -10,7 +10,7 @@
 #include "fakes/crashing_endpoint.h"
 #include "fakes/fake_table.h"
 #include "support/peer_relay.h"
-#include "support/sample_engine.h"
+#include "support/sample_configuration.h"
 #include "sycamoreford/adapters/http_client.h"
 
 namespace sycamoreford {
@@ -39,35 +39,14 @@
 };
 
 std::shared_ptr<const Manifest> Configuration() {
-  RelayService model;
-  model.name = "model";
-  model.engine = support::SampleEngine();
-  model.engine->kinds["whole"] = {300'000, 1, 1};
-  RelayService plain;
-  plain.name = "plain";
-  Manifest::Builder builder(1);
-  const auto add = [&](const std::string& path, RetryPolicy retry_policy,
-                       const std::string& service) {
-    RelayRoute route;
-    route.name = path;
-    route.host = "a.example";
-    route.path_prefix = "/" + path + "/";
-    route.retry_policy = retry_policy;
-    route.streams = service == "model";
-    route.max_attempts = 2;
-    route.services = {{service, 1}};
-    builder.AddRoute(route);
-  };
-  add("stream", RetryPolicy::kResumable, "model");
-  add("safe", RetryPolicy::kIdempotent, "plain");
-  add("once", RetryPolicy::kAtMostOnce, "plain");
+  Manifest::Builder builder = support::SampleConfiguration();
   for (const std::string number : {"1", "2"}) {
     RelayCustomer customer;
     customer.name = "customer-" + number;
     customer.api_keys = {"key-" + number};
     builder.AddCustomer(customer);
   }
-  return builder.AddService(model).AddService(plain).Build();
+  return builder.Build();
 }
 
 /// Few endpoints of both services, and relays in front of them.
--- a/tests/relay_cut_off_test.cc
+++ b/tests/relay_cut_off_test.cc
@@ -13,7 +13,7 @@
 #include "fakes/scripted_endpoint.h"
 #include "support/event_stream.h"
 #include "support/peer_relay.h"
-#include "support/sample_engine.h"
+#include "support/sample_configuration.h"
 #include "sycamoreford/adapters/http_client.h"
 
 namespace sycamoreford {
@@ -40,35 +40,10 @@
 constexpr milliseconds kStopTime{500};
 
 std::shared_ptr<const Manifest> Configuration() {
-  RelayService model;
-  model.name = "model";
-  model.engine = support::SampleEngine();
-  model.engine->kinds["whole"] = {300'000, 1, 1};
-  RelayService plain;
-  plain.name = "plain";
-  Manifest::Builder builder(1);
-  const auto add = [&](const std::string& path, RetryPolicy retry_policy,
-                       const std::string& service) {
-    RelayRoute route;
-    route.name = path;
-    route.host = "a.example";
-    route.path_prefix = "/" + path + "/";
-    route.retry_policy = retry_policy;
-    route.streams = service == "model";
-    route.max_attempts = 2;
-    route.services = {{service, 1}};
-    builder.AddRoute(route);
-  };
-  add("stream", RetryPolicy::kResumable, "model");
-  add("safe", RetryPolicy::kIdempotent, "plain");
-  add("once", RetryPolicy::kAtMostOnce, "plain");
   RelayCustomer customer;
   customer.name = "bells";
   customer.api_keys = {"key-1"};
-  return builder.AddService(model)
-      .AddService(plain)
-      .AddCustomer(customer)
-      .Build();
+  return support::SampleConfiguration().AddCustomer(customer).Build();
 }
 
 /// An endpoint of both services that notes what it runs.
