Count the trials of a quarantine anew after a sound response

A request that was quarantined by mistake and cleared by a trial kept that trial on its account. After a second mistake it waited a minute for the next trial, and after a third it was refused until it had not come for ten minutes. Trials before the latest sound response count no longer, here or in the reports of other daemons.

whole_request_quarantine_test, "is tried again each time it was sound in between", failed before in the second round.

--- a/include/sycamoreford/relay/trait_evidence.h
+++ b/include/sycamoreford/relay/trait_evidence.h
@@ -27,12 +27,16 @@
   /// Also set if the latest sound request was before all known crashes.
   std::optional<TimePoint> last_sound;
   TimePoint last_request{};
+  /// The latest trial, and the number of trials, since the latest sound
+  /// request.
   std::optional<TimePoint> last_trial;
   std::uint32_t trials = 0;
 
   [[nodiscard]] TimePoint LastEvidence() const;
   /// \returns whether the crash was not known.
   bool AddCrash(EndpointRun run, TimePoint at);
+  /// Merges what another daemon knows of trials.
+  void MergeTrials(std::uint32_t count, TimePoint last);
   void ApplySound(TimePoint at);
 };
 
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -200,10 +200,8 @@
   suspect.last_request =
       std::max(suspect.last_request, now - report.request_age);
   if (report.trial_age) {
-    suspect.last_trial = std::max(suspect.last_trial.value_or(TimePoint{}),
-                                  now - *report.trial_age);
+    suspect.MergeTrials(report.trials, now - *report.trial_age);
   }
-  suspect.trials = std::max(suspect.trials, report.trials);
   for (const TraitReport::Crash& crash : report.crashes) {
     suspect.AddCrash(crash.run, now - crash.age);
   }
--- a/src/relay/trait_evidence.cc
+++ b/src/relay/trait_evidence.cc
@@ -26,11 +26,23 @@
   return is_new;
 }
 
+void TraitEvidence::MergeTrials(std::uint32_t count, TimePoint last) {
+  if (last_sound && last <= *last_sound) {
+    return;
+  }
+  last_trial = std::max(last_trial.value_or(last), last);
+  trials = std::max(trials, count);
+}
+
 void TraitEvidence::ApplySound(TimePoint at) {
   const TimePoint last = std::max(last_sound.value_or(TimePoint{}), at);
   last_sound = last;
   std::erase_if(crashes,
                 [&](const auto& crash) { return crash.second <= last; });
+  if (last_trial && *last_trial <= last) {
+    last_trial.reset();
+    trials = 0;
+  }
 }
 
 }  // namespace sycamoreford
--- a/tests/whole_request_quarantine_test.cc
+++ b/tests/whole_request_quarantine_test.cc
@@ -148,6 +148,26 @@
       CHECK(trials == (ms < 1'000 ? 0 : 1));
     }
   }
+  SECTION("is tried again each time it was sound in between") {
+    int ms = last;
+    for (std::uint32_t round = 1; round <= 4; ++round) {
+      const int due = ms + 1'000;
+      CAPTURE(round);
+      REQUIRE(quarantine.OnRequest({kCulprit}, At(due), 0, kDaemons) ==
+              QuarantineVerdict::kTrial);
+      quarantine.OnTrial({kCulprit}, At(due));
+      (void)quarantine.OnSound({kCulprit}, At(due + 20), At(due + 20));
+      REQUIRE_FALSE(quarantine.IsQuarantined({kCulprit}));
+      // As if the others had not heard of the trial but of the response.
+      TraitReport late = *quarantine.ReportOn(kCulprit, At(due + 30));
+      late.trials = round;
+      late.trial_age = milliseconds(30);
+      quarantine.OnReport(late, At(due + 30));
+      Crash(quarantine, {kCulprit}, 2, due + 100, 100 * round);
+      ms = Crash(quarantine, {kCulprit}, 1, due + 1'300, 100 * round + 50);
+      REQUIRE(quarantine.IsQuarantined({kCulprit}));
+    }
+  }
   SECTION("is not tried again because a trial was due but not made") {
     REQUIRE(quarantine.OnRequest({kCulprit}, At(last + 1'000), 0, kDaemons) ==
             QuarantineVerdict::kTrial);
