--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <tuple>
 
+#include "sycamoreford/relay/trial_delay.h"
+
 namespace sycamoreford {
 namespace {
 
@@ -20,24 +22,6 @@
       [&](const RequestTrait& trait) { return Contains(traits, trait); });
 }
 
-/// Time from the last crash or trial to the next trial; nothing if there is
-/// none.
-std::optional<Duration> TrialDelay(bool is_whole_request,
-                                   std::uint32_t trials) {
-  constexpr std::uint32_t kMaxDoublings = 12;
-  if (trials == 0) {
-    return RequestQuarantine::kFirstTrialDelay;
-  }
-  if (!is_whole_request) {
-    return RequestQuarantine::kSecondTrialDelay *
-           (1U << std::min(2 * (trials - 1), kMaxDoublings));
-  }
-  if (trials < RequestQuarantine::kMaxWholeRequestTrials) {
-    return RequestQuarantine::kSecondWholeRequestTrialDelay;
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 QuarantineVerdict RequestQuarantine::OnRequest(
