Spend a trial only when an endpoint gets the request

A request that was quarantined by mistake, while the endpoints that had crashed were still listed, spent its trial on connections that were refused. Of two trials one was lost, and the request was refused for another minute.

A trial is now reserved at this daemon while it connects, counted and told when the request was sent. quarantine_trial_test failed before in two checks; it also covers copies at the same moment, of which one is sent.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -67,6 +67,7 @@
   using Processor::MayBeSent;
   using Processor::MayConnect;
   using Processor::OnLimited;
+  using Processor::OnSentFor;
   using Processor::TryAcquireSend;
 
   [[nodiscard]] static double ExpectedTokens(const RequestContext& context) {
@@ -174,6 +175,7 @@
             .stream = {.request_id = context.request.id,
                        .address = stages.front().address,
                        .request = std::move(encoded),
+                       .on_sent = OnSentFor(context),
                        .deadline = context.deadline,
                        .connect_timeout = relay::kConnectTimeout,
                        .streams = context.route->streams,
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -30,6 +30,8 @@
   std::string address;
   /// The request, encoded for this endpoint.
   HttpRequest request;
+  /// Called when the connection was established and the request sent.
+  std::function<void()> on_sent;
   /// Called when the head of the response has arrived, which may be long before
   /// the attempt ends.
   std::function<void(const ResponseHead&)> on_head;
@@ -72,6 +74,9 @@
   boost::asio::awaitable<AttemptStep> Run() {
     auto failure = co_await call_.Send(options_.address, options_.request,
                                        options_.connect_timeout, TimeLeft());
+    if (call_.was_sent() && options_.on_sent) {
+      options_.on_sent();
+    }
     if (!failure) {
       failure = co_await call_.ReadHead(TimeLeft());
     }
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -77,6 +77,7 @@
   using Processor::MayBeSent;
   using Processor::MayConnect;
   using Processor::OnLimited;
+  using Processor::OnSentFor;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
@@ -233,7 +234,8 @@
     return EndpointAttemptOptions{.endpoint = record.id,
                                   .run = RunOf(record),
                                   .address = record.address,
-                                  .request = Codec::Encode(request, forward)};
+                                  .request = Codec::Encode(request, forward),
+                                  .on_sent = OnSentFor(context)};
   }
 
   /// Chooses another daemon and counts the send.
--- a/include/sycamoreford/adapters/quarantine_guard.h
+++ b/include/sycamoreford/adapters/quarantine_guard.h
@@ -34,6 +34,10 @@
       std::size_t daemon_count) {
     return quarantine_.OnRequest(traits, now, rank, daemon_count);
   }
+  /// As `RequestQuarantine::ReserveTrial`.
+  void ReserveTrial(const std::vector<RequestTrait>& traits, TimePoint now) {
+    quarantine_.ReserveTrial(traits, now);
+  }
   /// As `RequestQuarantine::OnTrial`.
   void OnTrial(const std::vector<RequestTrait>& traits, TimePoint now);
   /// As `RequestQuarantine::IsQuarantined`.
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -70,8 +70,6 @@
   bool may_have_run = false;
   /// Whether the request is sent once although it is quarantined.
   bool is_trial = false;
-  /// Whether the trial was made.
-  bool was_tried = false;
   /// Why the request was not sent, or not sent again.
   std::string_view last_denial;
   /// Time after which the limits of endpoints may allow the request.
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -212,14 +213,24 @@
       context.last_denial = "retry_budget";
       return false;
     }
-    if (context.is_trial && !context.was_tried) {
-      context.was_tried = true;
-      state_.quarantine().OnTrial(context.traits, clock_.Now());
+    if (context.is_trial) {
+      state_.quarantine().ReserveTrial(context.traits, clock_.Now());
     }
     ++context.sends;
     return true;
   }
 
+  /// What to call when the request was sent to an endpoint. A trial that no
+  /// endpoint gets is not spent.
+  [[nodiscard]] std::function<void()> OnSentFor(const RequestContext& context) {
+    if (!context.is_trial) {
+      return {};
+    }
+    return [this, traits = context.traits] {
+      state_.quarantine().OnTrial(traits, clock_.Now());
+    };
+  }
+
   /// Records a send after which the caller has no complete response.
   void RecordFailedSend(RequestContext& context,
                         AttemptStep step,
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,8 @@
   std::string address;
   /// The request, encoded for the destination.
   HttpRequest request;
+  /// Called when the connection was established and the request sent.
+  std::function<void()> on_sent{};
   TimePoint deadline{};
   std::chrono::milliseconds connect_timeout{0};
   /// Whether the response is expected to be a stream of events.
@@ -56,6 +59,9 @@
       const auto failure =
           co_await call_.Send(options_.address, options_.request,
                               options_.connect_timeout, TimeLeft());
+      if (call_.was_sent() && options_.on_sent) {
+        options_.on_sent();
+      }
       if (failure) {
         co_return OnFailure(*failure);
       }
--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -90,6 +90,8 @@
   static constexpr std::chrono::seconds kSecondTrialDelay{10};
   /// Added for each rank of a daemon, so that usually only one makes a trial.
   static constexpr std::chrono::milliseconds kTrialStagger{500};
+  /// How long a trial is reserved; longer than it takes to connect.
+  static constexpr std::chrono::milliseconds kTrialReservation{500};
   /// Trials of a whole request. Later ones would exceed the crashes that it may
   /// cause, so it stays quarantined while it comes again.
   static constexpr std::uint32_t kMaxWholeRequestTrials = 2;
@@ -115,7 +117,11 @@
       std::size_t rank,
       std::size_t daemon_count);
 
-  /// Called when a request for which `OnRequest` has returned `kTrial` is sent.
+  /// Called before a request for which `OnRequest` has returned `kTrial` is
+  /// sent: this daemon makes no other trial in the meantime.
+  void ReserveTrial(const std::vector<RequestTrait>& traits, TimePoint now);
+
+  /// Called when such a request was sent.
   void OnTrial(const std::vector<RequestTrait>& traits, TimePoint now);
 
   /// Whether a request with these traits must not be sent, or not once more.
--- a/include/sycamoreford/relay/trait_evidence.h
+++ b/include/sycamoreford/relay/trait_evidence.h
@@ -31,6 +31,8 @@
   /// request.
   std::optional<TimePoint> last_trial;
   std::uint32_t trials = 0;
+  /// Until when a trial of this daemon may still reach its endpoint.
+  TimePoint trial_reserved_until{};
 
   [[nodiscard]] TimePoint LastEvidence() const;
   /// \returns whether the crash was not known.
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -50,6 +50,15 @@
              : QuarantineVerdict::kRefuse;
 }
 
+void RequestQuarantine::ReserveTrial(const std::vector<RequestTrait>& traits,
+                                     TimePoint now) {
+  if (const auto* group = FindGroup(traits)) {
+    for (const RequestTrait& trait : *group) {
+      suspects_.at(trait).trial_reserved_until = now + kTrialReservation;
+    }
+  }
+}
+
 void RequestQuarantine::OnTrial(const std::vector<RequestTrait>& traits,
                                 TimePoint now) {
   const auto* group = FindGroup(traits);
@@ -97,7 +106,11 @@
                                    std::size_t rank,
                                    std::size_t daemon_count) const {
   const auto due = NextTrial(group);
-  if (!due || now < *due) {
+  const bool is_reserved =
+      std::any_of(group.begin(), group.end(), [&](const RequestTrait& trait) {
+        return now < suspects_.at(trait).trial_reserved_until;
+      });
+  if (!due || now < *due || is_reserved) {
     return false;
   }
   if (!ContainsWholeRequest(group)) {
