Limit the trials of prompt parts, and let daemons take turns for them

Endpoints crashed under trials of a prompt part without end, one each 10 s, 40 s, 160 s and so on, more than the three that are allowed; and after a pause, when all daemons' delays had passed, copies at the same moment were tried by several of them. Whole requests had both mended for themselves.

Both kinds now have a list of delays, three for parts and two for whole requests, and the same turns.

--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -86,17 +87,20 @@
   /// Time from the last crash or trial to the first trial, which follows soon
   /// in case the part was suspected by mistake.
   static constexpr std::chrono::milliseconds kFirstTrialDelay{1'000};
-  /// The same for the second trial; quadruples with each further trial.
-  static constexpr std::chrono::seconds kSecondTrialDelay{10};
-  /// Added for each rank of a daemon, so that usually only one makes a trial.
-  static constexpr std::chrono::milliseconds kTrialStagger{500};
+  /// Times from the last crash or trial to each trial of a prompt part. There
+  /// are no further ones, which would exceed the crashes that it may cause, so
+  /// it stays quarantined while there are requests with it.
+  static constexpr std::array<std::chrono::milliseconds, 3> kPartTrialDelays = {
+      kFirstTrialDelay, std::chrono::seconds(10), std::chrono::seconds(40)};
+  /// The same for a whole request, whose copies come at several daemons at
+  /// once.
+  static constexpr std::array<std::chrono::milliseconds, 2>
+      kWholeRequestTrialDelays = {kFirstTrialDelay, std::chrono::seconds(60)};
+  /// Time in which one daemon may make a due trial, before it is the turn of
+  /// the next one.
+  static constexpr std::chrono::milliseconds kTrialTurn{500};
   /// How long a trial is reserved; longer than it takes to connect.
   static constexpr std::chrono::milliseconds kTrialReservation{500};
-  /// Trials of a whole request. Later ones would exceed the crashes that it may
-  /// cause, so it stays quarantined while it comes again.
-  static constexpr std::uint32_t kMaxWholeRequestTrials = 2;
-  /// Time from the last crash or trial to the second trial of a whole request.
-  static constexpr std::chrono::seconds kSecondWholeRequestTrialDelay{60};
   /// Maximum number of suspected traits; the least suspicious one is dropped.
   static constexpr std::size_t kMaxTraits = 512;
   /// Maximum number of sound prompt parts that are remembered.
@@ -135,9 +139,8 @@
   [[nodiscard]] bool IsQuarantinedAsWhole(
       const std::vector<RequestTrait>& traits) const;
 
-  /// Time until a whole request that is quarantined may be sent once, at some
-  /// daemon; nothing if it may not while it comes again, or is not quarantined
-  /// as a whole.
+  /// Time until such a request may be sent once, at some daemon; nothing if it
+  /// may not while such requests come, or is not quarantined.
   [[nodiscard]] std::optional<Duration> TimeUntilTrial(
       const std::vector<RequestTrait>& traits,
       TimePoint now) const;
@@ -201,8 +204,7 @@
   /// is its cause.
   [[nodiscard]] bool IsDecisive(const std::vector<RequestTrait>& group,
                                 const std::vector<RequestTrait>& traits) const;
-  /// When the next trial of a group is due at the first daemon; nothing if
-  /// there is none.
+  /// When the next trial of a group is due; nothing if there is none.
   [[nodiscard]] std::optional<TimePoint> NextTrial(
       const std::vector<RequestTrait>& group) const;
   /// Whether a trial may be made at this daemon.
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -5,8 +5,6 @@
 #include <set>
 #include <tuple>
 
-#include "sycamoreford/relay/trial_delay.h"
-
 namespace sycamoreford {
 namespace {
 
@@ -97,8 +95,12 @@
                      suspect.last_trial.value_or(TimePoint{})});
     trials = std::max(trials, suspect.trials);
   }
-  const auto delay = TrialDelay(ContainsWholeRequest(group), trials);
-  return delay ? std::optional(last + *delay) : std::nullopt;
+  const auto due_after = [&](const auto& delays) {
+    return trials < delays.size() ? std::optional(last + delays[trials])
+                                  : std::nullopt;
+  };
+  return ContainsWholeRequest(group) ? due_after(kWholeRequestTrialDelays)
+                                     : due_after(kPartTrialDelays);
 }
 
 bool RequestQuarantine::IsTrialDue(const std::vector<RequestTrait>& group,
@@ -113,12 +115,7 @@
   if (!due || now < *due || is_reserved) {
     return false;
   }
-  if (!ContainsWholeRequest(group)) {
-    return now - *due >= kTrialStagger * static_cast<std::int64_t>(rank);
-  }
-  // Whole requests come in bursts, at several daemons at once; these take
-  // turns.
-  const auto turn = static_cast<std::size_t>((now - *due) / kTrialStagger);
+  const auto turn = static_cast<std::size_t>((now - *due) / kTrialTurn);
   return turn % daemon_count == rank % daemon_count;
 }
 
@@ -126,10 +123,7 @@
     const std::vector<RequestTrait>& traits,
     TimePoint now) const {
   const auto* group = FindGroup(traits);
-  if (group == nullptr || !ContainsWholeRequest(*group)) {
-    return std::nullopt;
-  }
-  const auto due = NextTrial(*group);
+  const auto due = group == nullptr ? std::nullopt : NextTrial(*group);
   return due ? std::optional(std::max(*due - now, Duration::zero()))
              : std::nullopt;
 }
--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -108,6 +108,35 @@
       // One early, then 10, 50 and 210 seconds after it.
       REQUIRE(trials == 3);
     }
+    SECTION("it is tried three times at most while it comes again") {
+      int trials = 0;
+      for (int ms = last; ms < last + 2'000'000; ms += 100) {
+        quarantine.Expire(At(ms));
+        if (quarantine.OnRequest({kCulprit}, At(ms), 0, 1) ==
+            QuarantineVerdict::kTrial) {
+          ++trials;
+          quarantine.OnTrial({kCulprit}, At(ms));
+          quarantine.OnCrash({kCulprit},
+                             Run(static_cast<std::uint32_t>(100 + trials)),
+                             At(ms + 50));
+        }
+      }
+      REQUIRE(trials == 3);
+    }
+    SECTION("it is tried by one daemon at a time") {
+      constexpr std::size_t kDaemons = 4;
+      for (int ms = 1'000; ms < 20'000; ms += 100) {
+        int trials = 0;
+        for (std::size_t rank = 0; rank < kDaemons; ++rank) {
+          RequestQuarantine copy = quarantine;
+          trials += copy.OnRequest({kCulprit}, At(last + ms), rank, kDaemons) ==
+                            QuarantineVerdict::kTrial
+                        ? 1
+                        : 0;
+        }
+        REQUIRE(trials == 1);
+      }
+    }
     SECTION("a daemon of higher rank waits longer for a trial") {
       const auto verdict = [&](int ms, std::size_t rank) {
         RequestQuarantine copy = quarantine;
