Remember quarantined prompt parts as long as whole requests

A prompt part that crashes endpoints was forgotten after a minute without requests with it, and cost three endpoints more when it came back, also more than are allowed. Whole requests were remembered for ten minutes by a special case, which needed another one for the crashes that a forgotten part had explained. Both are gone: all traits and crashes are remembered for ten minutes, within the same bounds in number, and all callers are told to come back when the next trial is due.

request_quarantine_test, "it is still known when requests with it come back", failed before (one minute).

--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -47,13 +47,12 @@
   /// back.
   [[nodiscard]] Refusal QuarantineRefusal(RequestContext& context) const {
     const auto& quarantine = state_.quarantine();
-    if (!quarantine.IsQuarantinedAsWhole(context.traits)) {
-      return Refusal::kPromptQuarantined;
-    }
     context.allowed_after = std::chrono::ceil<std::chrono::milliseconds>(
         quarantine.TimeUntilTrial(context.traits, clock_.Now())
             .value_or(relay::kQuarantineRetryAfter));
-    return Refusal::kRequestQuarantined;
+    return quarantine.IsQuarantinedAsWhole(context.traits)
+               ? Refusal::kRequestQuarantined
+               : Refusal::kPromptQuarantined;
   }
 
   /// Time since the request arrived.
--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -79,11 +79,12 @@
   /// attributed to the request; later, the request counts as sound.
   static constexpr std::chrono::milliseconds kBeginning{300};
   /// How long crashes are remembered while the trait is not quarantined.
-  static constexpr std::chrono::seconds kCrashMemory{120};
-  /// How long a trait is quarantined when there are no requests with it.
-  static constexpr std::chrono::seconds kQuietTime{60};
-  /// Both times for a whole request, which may come back rarely.
-  static constexpr std::chrono::seconds kWholeRequestMemory{600};
+  static constexpr std::chrono::seconds kCrashMemory{600};
+  /// How long a trait is quarantined when there are no requests with it. Not
+  /// shorter than `kCrashMemory`, or crashes that a forgotten trait explained
+  /// would count against others.
+  static constexpr std::chrono::seconds kQuietTime{600};
+  static_assert(kQuietTime >= kCrashMemory);
   /// Time from the last crash or trial to the first trial, which follows soon
   /// in case the part was suspected by mistake.
   static constexpr std::chrono::milliseconds kFirstTrialDelay{1'000};
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <tuple>
 
 namespace sycamoreford {
@@ -307,34 +306,17 @@
 }
 
 void RequestQuarantine::Expire(TimePoint now) {
-  const auto memory = [](const RequestTrait& trait,
-                         std::chrono::seconds of_part) {
-    return IsWholeRequest(trait) ? kWholeRequestMemory : of_part;
-  };
-  // What a forgotten trait explains must not count against others afterwards.
-  std::set<EndpointRun> explained;
-  for (const auto& [trait, suspect] : suspects_) {
-    if (IsInGroup(trait) &&
-        now - suspect.last_request > memory(trait, kQuietTime)) {
-      for (const auto& [run, at] : suspect.crashes) {
-        explained.insert(run);
-      }
-    }
-  }
   for (auto& [trait, suspect] : suspects_) {
     if (!IsInGroup(trait)) {
-      const Duration crash_memory = memory(trait, kCrashMemory);
       std::erase_if(suspect.crashes, [&](const auto& crash) {
-        return now - crash.second > crash_memory ||
-               explained.contains(crash.first);
+        return now - crash.second > kCrashMemory;
       });
     }
   }
   std::erase_if(suspects_, [&](const auto& entry) {
-    const auto& [trait, suspect] = entry;
-    return IsInGroup(trait)
-               ? now - suspect.last_request > memory(trait, kQuietTime)
-               : now - suspect.LastEvidence() > memory(trait, kCrashMemory);
+    const Suspect& suspect = entry.second;
+    return IsInGroup(entry.first) ? now - suspect.last_request > kQuietTime
+                                  : now - suspect.LastEvidence() > kCrashMemory;
   });
   Evaluate();
 }
--- a/tests/quarantine_trial_test.cc
+++ b/tests/quarantine_trial_test.cc
@@ -79,7 +79,12 @@
     CHECK(fetch() == "502");
     CHECK(TrialCount(fixture) == 1);
     std::this_thread::sleep_for(RequestQuarantine::kFirstTrialDelay);
-    CHECK(fetch() == "503");
+    const std::string refusal = fixture.Fetch("POST", path);
+    CHECK(ParseResponse(refusal).status == "503");
+    const std::string header = "Retry-After: ";
+    const auto seconds =
+        std::stod(refusal.substr(refusal.find(header) + header.size()));
+    CHECK(seconds > 55);
     CHECK(fixture.plain_1.requests().size() +
               fixture.model_1.requests().size() ==
           1);
--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -108,6 +108,10 @@
       // One early, then 10, 50 and 210 seconds after it.
       REQUIRE(trials == 3);
     }
+    SECTION("it is still known when requests with it come back") {
+      quarantine.Expire(At(last) + std::chrono::minutes(5));
+      REQUIRE(quarantine.IsQuarantined({kCulprit}));
+    }
     SECTION("it is tried three times at most while it comes again") {
       int trials = 0;
       for (int ms = last; ms < last + 2'000'000; ms += 100) {
--- a/tests/whole_request_quarantine_test.cc
+++ b/tests/whole_request_quarantine_test.cc
@@ -176,10 +176,9 @@
     CHECK(quarantine.TimeUntilTrial({kCulprit}, At(last)) == seconds(1));
   }
   SECTION("is forgotten when it no longer comes") {
-    quarantine.Expire(At(last) + RequestQuarantine::kWholeRequestMemory);
+    quarantine.Expire(At(last) + RequestQuarantine::kQuietTime);
     CHECK(quarantine.IsQuarantined({kCulprit}));
-    quarantine.Expire(At(last) + RequestQuarantine::kWholeRequestMemory +
-                      seconds(1));
+    quarantine.Expire(At(last) + RequestQuarantine::kQuietTime + seconds(1));
     CHECK_FALSE(quarantine.IsQuarantined({kCulprit}));
   }
 }
