Bound how often the roster is read because of unlisted senders

With 390 daemons, all of them read the roster twice a second while one sender was not listed, 780 reads a second at the store. The interval grows with the number of daemons, like those of all other calls. A request for a count during one is no longer lost.

--- a/include/sycamoreford/adapters/roster_service.h
+++ b/include/sycamoreford/adapters/roster_service.h
@@ -42,14 +42,16 @@
       if (clock_.Now() >= renew_at && co_await RenewRow()) {
         renew_at = clock_.Now() + DaemonRoster::kRenewalInterval;
       }
-      co_await CountDaemons();
       is_count_requested_ = false;
-      const TimePoint next =
-          clock_.Now() + (is_count_settled_
-                              ? kCountInterval * state_.interval_factor()
-                              : kStartupCountInterval);
-      do {
+      co_await CountDaemons();
+      if (!is_count_settled_) {
         co_await Pause(kStartupCountInterval);
+        continue;
+      }
+      const auto factor = state_.interval_factor();
+      const TimePoint next = clock_.Now() + kCountInterval * factor;
+      do {
+        co_await Pause(kMinCountInterval * factor);
       } while (clock_.Now() < next && !is_count_requested_);
     }
   }
@@ -62,6 +64,8 @@
  private:
   /// Interval between two counts, with few daemons.
   static constexpr std::chrono::milliseconds kCountInterval{6'000};
+  /// The same when a daemon may have been added.
+  static constexpr std::chrono::milliseconds kMinCountInterval{500};
   /// Time after the start during which daemons are counted more often.
   static constexpr std::chrono::milliseconds kStartupPeriod{1'500};
   /// Interval between two counts during that time, and after it until a count
