Let a daemon that starts ask what the others know

A daemon that had just started sent requests to endpoints that were leaving, or that were quarantined: it got no news until its own first request made it tell its status, and none at all if the others had listed it by then.

It now asks six others, two at a time, as soon as it has read the roster.

--- a/include/sycamoreford/adapters/leaving_announcer.h
+++ b/include/sycamoreford/adapters/leaving_announcer.h
@@ -52,6 +52,19 @@
     }
   }
 
+  /// Splits runs into messages of at most `kRunsPerMessage`.
+  [[nodiscard]] static std::vector<std::vector<EndpointRunId>> Split(
+      const std::vector<EndpointRunId>& runs) {
+    std::vector<std::vector<EndpointRunId>> messages;
+    for (const EndpointRunId& run : runs) {
+      if (messages.empty() || messages.back().size() == kRunsPerMessage) {
+        messages.emplace_back();
+      }
+      messages.back().push_back(run);
+    }
+    return messages;
+  }
+
   /// Called when another daemon told of a run.
   void OnTold(const EndpointRunId& run) { pending_.erase(run); }
 
@@ -67,16 +80,9 @@
         std::min(kMinDelay * interval_factor, kMaxDelay).count());
     co_await Pause(std::chrono::milliseconds(delay_ms(random_)));
     is_waiting_ = false;
-    const std::set<EndpointRunId> runs = std::exchange(pending_, {});
-    std::vector<EndpointRunId> message;
-    for (const EndpointRunId& run : runs) {
-      message.push_back(run);
-      if (message.size() == kRunsPerMessage) {
-        send_(message);
-        message.clear();
-      }
-    }
-    if (!message.empty()) {
+    const std::vector<EndpointRunId> runs(pending_.begin(), pending_.end());
+    pending_.clear();
+    for (const auto& message : Split(runs)) {
       send_(message);
     }
   }
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -31,6 +31,8 @@
   std::optional<double> slowness;
   std::optional<TraitReport> trait;
   std::vector<EndpointLimitReport> limits;
+  /// Whether the sender asks for what others know; if so, nothing else is set.
+  bool asks = false;
   /// Runs of endpoints that are leaving.
   std::vector<EndpointRunId> leaving;
   /// Service that `usage` belongs to.
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -123,6 +123,23 @@
     }
   }
 
+  /// Asks some of the other daemons for what they know, right after the start;
+  /// returns when that is done.
+  boost::asio::awaitable<void> AskPeers() {
+    PeerMessage question;
+    question.asks = true;
+    std::size_t next = 0;
+    const TimePoint deadline = clock_.Now() + kAskTime;
+    while (next < kMaxAskedPeers && clock_.Now() < deadline) {
+      const auto peers = OtherDaemons();
+      for (std::size_t i = 0; i < kPeersAskedAtOnce && i < peers.size(); ++i) {
+        datagrams_.Send({peers[next % peers.size()]}, question);
+        ++next;
+      }
+      co_await Pause(kAskInterval);
+    }
+  }
+
   /// Sends the reports on limits that were held back, or that are due without
   /// news; does not return.
   boost::asio::awaitable<void> BroadcastLimits() {
@@ -182,10 +199,24 @@
   /// bytes each.
   static constexpr std::size_t kMaxStateBytes = 8UL * 1024 * 1024;
   static constexpr const char* kStatePath = "/state";
+  /// Interval between two rounds of questions, and the time for all of them.
+  static constexpr std::chrono::milliseconds kAskInterval{200};
+  static constexpr std::chrono::milliseconds kAskTime{10'000};
+  /// Minimum time between two replies.
+  static constexpr std::chrono::milliseconds kReplyInterval{20};
+  /// Daemons that are asked at the same time, and in all; a reply may be lost.
+  static constexpr std::size_t kPeersAskedAtOnce = 2;
+  static constexpr std::size_t kMaxAskedPeers = 6;
   /// Maximum number of leaving endpoints that a new daemon is told of; the
   /// store lists most of them as well.
   static constexpr std::size_t kMaxLeavingInReply = 64;
 
+  [[nodiscard]] std::vector<std::string> OtherDaemons() const {
+    auto addresses = roster_.roster().Addresses(clock_.Now());
+    std::erase(addresses, datagrams_.address());
+    return addresses;
+  }
+
   void SendReport(const std::vector<std::string>& addresses,
                   const TraitReport& report) {
     PeerMessage message;
@@ -220,23 +251,22 @@
     }
   }
 
-  /// Replies to the status of a sender that is not listed. It may be a daemon
-  /// that has just started and gets no other messages yet. It is not believed
-  /// until the roster, which is read again, lists it.
-  void OnUnlisted(const PeerMessage& message, const std::string& from) {
-    roster_.CountSoon();
-    const bool is_status = !message.service.empty();
-    if (!is_status) {
+  /// Tells a daemon that has just started what is otherwise told as news. The
+  /// question may come from any host, so replies are limited in number.
+  void Reply(const std::string& from) {
+    const TimePoint now = clock_.Now();
+    if (now < next_reply_at_) {
       return;
     }
-    const TimePoint now = clock_.Now();
+    next_reply_at_ = now + kReplyInterval;
     for (const auto& report : state_.quarantine().QuarantineReports(now)) {
       SendReport({from}, report);
     }
     SendLimits({from}, state_.limits().Reports(now));
-    for (const EndpointRunId& run :
-         state_.directory().leaving().Latest(kMaxLeavingInReply)) {
-      SendLeaving({from}, {run});
+    const auto leaving =
+        state_.directory().leaving().Latest(kMaxLeavingInReply);
+    for (const auto& runs : LeavingAnnouncer::Split(leaving)) {
+      SendLeaving({from}, runs);
     }
   }
 
@@ -254,7 +284,14 @@
 
   void OnMessage(const PeerMessage& message, const std::string& from) {
     if (!IsListed(from)) {
-      OnUnlisted(message, from);
+      // It may be a daemon that has just started; it is not believed until its
+      // row was read.
+      roster_.CountSoon();
+    }
+    if (message.asks) {
+      Reply(from);
+    }
+    if (message.asks || !IsListed(from)) {
       return;
     }
     if (message.trait) {
@@ -329,6 +366,7 @@
   std::function<PeerStatus(const std::string&)> status_;
   PeerDatagrams datagrams_;
   LeavingAnnouncer leaving_announcer_;
+  TimePoint next_reply_at_{};
 };
 
 }  // namespace sycamoreford
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -153,7 +153,9 @@
 
 std::string PeerMessage::ToText() const {
   json::object object;
-  if (trait) {
+  if (asks) {
+    object["ask"] = true;
+  } else if (trait) {
     object = ToJson(*trait);
   } else if (!limits.empty()) {
     object["limits"] = ToJson(limits);
@@ -183,6 +185,10 @@
     const json::value value = json::parse(text);
     const json::object& object = value.as_object();
     PeerMessage message;
+    if (object.contains("ask")) {
+      message.asks = true;
+      return message;
+    }
     if (object.contains("part") || object.contains("fingerprint")) {
       message.trait = ToTraitReport(object);
       return message;
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -112,6 +112,7 @@
     state.Accept(manifest);
     boost::asio::co_spawn(context, roster.Run(), boost::asio::detached);
     boost::asio::co_spawn(context, peers.Receive(), boost::asio::detached);
+    boost::asio::co_spawn(context, peers.AskPeers(), boost::asio::detached);
     boost::asio::co_spawn(context, peers.BroadcastStatus(),
                           boost::asio::detached);
     boost::asio::co_spawn(context, peers.BroadcastLimits(),
--- a/tests/unlisted_sender_test.cc
+++ b/tests/unlisted_sender_test.cc
@@ -98,5 +98,29 @@
         other.address);
 }
 
+TEST_CASE("a daemon that has just started asks what the others know") {
+  boost::asio::io_context context{1};
+  fakes::FakeTable rows;
+  PeerRelay relay(context, rows, 1, "dc-0", Configuration());
+  context.run_for(milliseconds(200));
+  const RequestTrait trait = RequestFingerprint(7);
+  for (std::uint32_t run = 1; run <= 3; ++run) {
+    relay.state.quarantine().OnCrash({trait}, "e", EndpointRun(run),
+                                     relay.clock.Now());
+  }
+  relay.state.OnLeaving({"e", 1}, LeavingSource::kResponse);
+  relay.state.OnStatedLimit("e", 1, relay.clock.Now(), relay.clock.Now());
+  // News are told repeatedly for some seconds.
+  context.restart();
+  context.run_for(std::chrono::seconds(6));
+
+  PeerRelay other(context, rows, 1, "dc-0", Configuration());
+  context.restart();
+  context.run_for(milliseconds(1'000));
+  CHECK(other.state.quarantine().IsQuarantined({trait}));
+  CHECK(other.state.directory().leaving().Contains({"e", 1}));
+  CHECK(other.state.limits().count() == 1);
+}
+
 }  // namespace
 }  // namespace sycamoreford
