Bound suspected requests and suspected prompt parts apart

Each request that is lost beside a crashing endpoint is suspected, so a few crashes of busy endpoints displaced the evidence on a prompt part that crashes them. The bound on all traits together had been doubled to 512 for it; the test of prompt parts asserts 256 again. whole_request_quarantine_test, "suspected requests do not displace suspected prompt parts", failed before in both checks.

--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -102,8 +102,9 @@
   static constexpr std::chrono::milliseconds kTrialTurn{500};
   /// How long a trial is reserved; longer than it takes to connect.
   static constexpr std::chrono::milliseconds kTrialReservation{500};
-  /// Maximum number of suspected traits; the least suspicious one is dropped.
-  static constexpr std::size_t kMaxTraits = 512;
+  /// Maximum number of suspected prompt parts, and of suspected whole requests;
+  /// the least suspicious one is dropped.
+  static constexpr std::size_t kMaxTraits = 256;
   /// Maximum number of sound prompt parts that are remembered.
   static constexpr std::size_t kMaxSoundParts = 1'024;
   /// Maximum number of sound whole requests that are remembered.
@@ -187,8 +188,11 @@
   [[nodiscard]] SoundHistory& SoundHistoryFor(const RequestTrait& trait) {
     return IsWholeRequest(trait) ? sound_requests_ : sound_parts_;
   }
-  /// Makes room for a further trait.
-  void DropLeastSuspicious();
+  /// Makes room for a further trait of the same kind. Precondition: there is
+  /// one of this kind.
+  void DropLeastSuspicious(const RequestTrait& trait);
+  /// Number of suspected traits of the same kind.
+  [[nodiscard]] std::size_t CountOfKind(const RequestTrait& trait) const;
   /// Determines `groups_` from the evidence.
   void Evaluate();
   /// Adds a group to `groups_`, or one for each whole request in it, since no
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -204,9 +204,11 @@
 RequestQuarantine::Suspect& RequestQuarantine::SuspectFor(
     const RequestTrait& trait,
     TimePoint now) {
-  if (suspects_.size() >= kMaxTraits && !suspects_.contains(trait)) {
+  if (!suspects_.contains(trait) && CountOfKind(trait) >= kMaxTraits) {
     Expire(now);
-    DropLeastSuspicious();
+    while (CountOfKind(trait) >= kMaxTraits) {
+      DropLeastSuspicious(trait);
+    }
   }
   const auto [entry, is_new] = suspects_.try_emplace(trait);
   if (is_new) {
@@ -215,16 +217,21 @@
   return entry->second;
 }
 
-void RequestQuarantine::DropLeastSuspicious() {
+std::size_t RequestQuarantine::CountOfKind(const RequestTrait& trait) const {
+  return static_cast<std::size_t>(std::count_if(
+      suspects_.begin(), suspects_.end(),
+      [&](const auto& it) { return it.first.index() == trait.index(); }));
+}
+
+void RequestQuarantine::DropLeastSuspicious(const RequestTrait& trait) {
   const auto rank = [&](const auto& entry) {
-    return std::tuple(IsInGroup(entry.first), entry.second.crashes.size(),
+    return std::tuple(entry.first.index() != trait.index(),
+                      IsInGroup(entry.first), entry.second.crashes.size(),
                       entry.second.LastEvidence());
   };
-  while (suspects_.size() >= kMaxTraits) {
-    suspects_.erase(std::min_element(
-        suspects_.begin(), suspects_.end(),
-        [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
-  }
+  suspects_.erase(std::min_element(
+      suspects_.begin(), suspects_.end(),
+      [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
 }
 
 bool RequestQuarantine::IsInGroup(const RequestTrait& trait) const {
--- a/tests/whole_request_quarantine_test.cc
+++ b/tests/whole_request_quarantine_test.cc
@@ -183,6 +183,17 @@
   }
 }
 
+TEST_CASE("suspected requests do not displace suspected prompt parts") {
+  RequestQuarantine quarantine;
+  quarantine.OnCrash({kPart}, EndpointRun(1), At(0));
+  for (std::uint32_t i = 0; i < 2'000; ++i) {
+    quarantine.OnCrash({RequestFingerprint(10 + i)}, EndpointRun(2 + i),
+                       At(static_cast<int>(i)));
+  }
+  CHECK(quarantine.ReportOn(kPart, At(2'000)));
+  CHECK(quarantine.traits().size() == 1 + RequestQuarantine::kMaxTraits);
+}
+
 TEST_CASE("sound requests are remembered up to a limit") {
   SoundHistory history(100);
   for (std::uint64_t i = 0; i < 1'000; ++i) {
