--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -271,8 +271,7 @@
   }
 
   [[nodiscard]] bool IsListed(const std::string& address) const {
-    const auto listed = roster_.roster().Addresses(clock_.Now());
-    return std::find(listed.begin(), listed.end(), address) != listed.end();
+    return roster_.roster().Contains(address, clock_.Now());
   }
 
   void OnLeaving(const std::vector<EndpointRunId>& runs) {
--- a/include/sycamoreford/fleet/daemon_roster.h
+++ b/include/sycamoreford/fleet/daemon_roster.h
@@ -39,6 +39,9 @@
   [[nodiscard]] std::size_t RankOf(const std::string& address,
                                    TimePoint now) const;
 
+  /// Whether a live daemon has this address.
+  [[nodiscard]] bool Contains(const std::string& address, TimePoint now) const;
+
   /// Addresses of the live daemons, ordered by row key.
   [[nodiscard]] std::vector<std::string> Addresses(TimePoint now) const;
 
@@ -47,6 +50,10 @@
     std::uint64_t version = 0;
     TimePoint changed_at{};
     std::string address;
+
+    [[nodiscard]] bool IsLive(TimePoint now) const {
+      return now - changed_at < kRowTtl;
+    }
   };
 
   std::map<std::string, ObservedRow> rows_;
--- a/src/fleet/daemon_roster.cc
+++ b/src/fleet/daemon_roster.cc
@@ -31,10 +31,16 @@
       addresses.begin());
 }
 
+bool DaemonRoster::Contains(const std::string& address, TimePoint now) const {
+  return std::any_of(rows_.begin(), rows_.end(), [&](const auto& it) {
+    return it.second.address == address && it.second.IsLive(now);
+  });
+}
+
 std::vector<std::string> DaemonRoster::Addresses(TimePoint now) const {
   std::vector<std::string> addresses;
   for (const auto& [key, observed] : rows_) {
-    if (now - observed.changed_at < kRowTtl) {
+    if (observed.IsLive(now)) {
       addresses.push_back(observed.address);
     }
   }
--- a/tests/relay_decisions_test.cc
+++ b/tests/relay_decisions_test.cc
@@ -432,11 +432,15 @@
   REQUIRE(roster.Count(kStart) == 2);
   REQUIRE(roster.RankOf("2", kStart) == 1);
   REQUIRE(roster.RankOf("other", kStart) == 2);
+  REQUIRE(roster.Contains("2", kStart));
+  REQUIRE_FALSE(roster.Contains("other", kStart));
 
   SECTION("a daemon no longer renews its row") {
     const TimePoint later = kStart + DaemonRoster::kRowTtl + seconds(1);
     roster.OnRows({{"daemon/a", "1", 1}, {"daemon/b", "2", 3}}, later);
     REQUIRE(roster.Count(later) == 1);
+    REQUIRE_FALSE(roster.Contains("1", later));
+    REQUIRE(roster.Contains("2", later));
     REQUIRE(roster.Addresses(later) == std::vector<std::string>{"2"});
   }
   SECTION("the row of a daemon is removed") {
