Run the context until requests have ended before their relays are destroyed

crashing_request_test ended once with a segmentation fault, at the end of its third section, when tests ran four at a time.

Cause: a connection that arrives as the server is closed is accepted after the others were cut off, so its stream went on for 0.7 s. The fixture waited for 0.5 s and then destroyed the relays; the coroutine of the request, which the context owned, released its endpoint at a relay that was gone. The product is not affected: its daemon destroys the context before the state that requests use.

The fixture cuts off connections until there are none, and runs the context meanwhile.

--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -9,6 +9,7 @@
 
 #include "fakes/crashing_endpoint.h"
 #include "fakes/fake_table.h"
+#include "support/cut_off.h"
 #include "support/peer_relay.h"
 #include "support/sample_configuration.h"
 #include "sycamoreford/adapters/http_client.h"
@@ -28,8 +29,6 @@
 constexpr std::size_t kEndpoints = 3;
 constexpr int kRelays = 3;
 constexpr milliseconds kRestartTime{1'500};
-/// Time in which requests end whose connections were closed.
-constexpr milliseconds kStopTime{500};
 
 struct Question {
   std::string path;
@@ -82,11 +81,7 @@
   }
   ~Deployment() {
     is_stopping_ = true;
-    for (const auto& relay : relays_) {
-      relay->server.Close();
-      relay->server.CutOff();
-    }
-    RunFor(kStopTime);
+    support::CutOff(context_, relays_);
   }
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
--- a/tests/endpoint_limit_path_test.cc
+++ b/tests/endpoint_limit_path_test.cc
@@ -9,6 +9,7 @@
 
 #include "fakes/fake_table.h"
 #include "fakes/scripted_endpoint.h"
+#include "support/cut_off.h"
 #include "support/event_stream.h"
 #include "support/peer_relay.h"
 #include "support/sample_engine.h"
@@ -30,8 +31,6 @@
 constexpr seconds kWindow{4};
 /// Requests beyond the limit that an endpoint accepts in a window.
 constexpr double kTolerance = 5;
-/// Time in which requests end whose connections were closed.
-constexpr milliseconds kStopTime{500};
 
 std::shared_ptr<const Manifest> Configuration() {
   RelayService model;
@@ -138,11 +137,7 @@
   }
   ~Deployment() {
     is_stopping_ = true;
-    for (const auto& daemon : daemons_) {
-      daemon->server.Close();
-      daemon->server.CutOff();
-    }
-    RunFor(kStopTime);
+    support::CutOff(context_, daemons_);
   }
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
--- a/tests/prompt_quarantine_path_test.cc
+++ b/tests/prompt_quarantine_path_test.cc
@@ -10,6 +10,7 @@
 
 #include "fakes/crashing_endpoint.h"
 #include "fakes/fake_table.h"
+#include "support/cut_off.h"
 #include "support/peer_relay.h"
 #include "support/sample_engine.h"
 #include "sycamoreford/adapters/http_client.h"
@@ -28,8 +29,6 @@
 /// Time in which daemons that are in contact learn of an event.
 constexpr milliseconds kContactTime{3'000};
 constexpr std::size_t kEndpoints = 9;
-/// Time in which requests end whose connections were closed.
-constexpr milliseconds kStopTime{500};
 
 std::shared_ptr<const Manifest> Configuration() {
   RelayService model;
@@ -84,11 +83,7 @@
   /// Ends all requests.
   void Stop() {
     is_stopping_ = true;
-    for (const auto& daemon : daemons_) {
-      daemon->server.Close();
-      daemon->server.CutOff();
-    }
-    RunFor(kStopTime);
+    support::CutOff(context_, daemons_);
   }
 
   [[nodiscard]] bool is_stopping() const noexcept { return is_stopping_; }
--- a/tests/relay_cut_off_test.cc
+++ b/tests/relay_cut_off_test.cc
@@ -11,6 +11,7 @@
 #include "fakes/cuttable_link.h"
 #include "fakes/fake_table.h"
 #include "fakes/scripted_endpoint.h"
+#include "support/cut_off.h"
 #include "support/event_stream.h"
 #include "support/peer_relay.h"
 #include "support/sample_configuration.h"
@@ -36,8 +37,6 @@
 constexpr milliseconds kEventInterval{60};
 constexpr int kEvents = 4;
 constexpr int kLongStreamEvents = 60;
-/// Time in which requests end whose connections were closed.
-constexpr milliseconds kStopTime{500};
 
 std::shared_ptr<const Manifest> Configuration() {
   RelayCustomer customer;
@@ -133,10 +132,8 @@
     is_stopping_ = true;
     for (std::size_t relay = 0; relay < kRelays; ++relay) {
       SetLinks(relay, LinkState::kUp);
-      relays[relay]->server.Close();
-      relays[relay]->server.CutOff();
     }
-    RunFor(kStopTime);
+    support::CutOff(context_, relays);
   }
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
--- a/tests/relay_leaving_test.cc
+++ b/tests/relay_leaving_test.cc
@@ -9,6 +9,7 @@
 
 #include "fakes/fake_table.h"
 #include "fakes/scripted_endpoint.h"
+#include "support/cut_off.h"
 #include "support/event_stream.h"
 #include "support/peer_relay.h"
 #include "support/sample_configuration.h"
@@ -31,8 +32,6 @@
 constexpr int kEvents = 4;
 constexpr int kLongStreamEvents = 50;
 constexpr milliseconds kEventInterval{60};
-/// Time in which requests end whose connections were closed.
-constexpr milliseconds kStopTime{500};
 const std::string kLeaving = "Server-Leaving: 1\r\n";
 
 std::shared_ptr<const Manifest> Configuration() {
@@ -130,11 +129,7 @@
   }
   ~Deployment() {
     is_stopping_ = true;
-    for (const auto& relay : relays_) {
-      relay->server.Close();
-      relay->server.CutOff();
-    }
-    RunFor(kStopTime);
+    support::CutOff(context_, relays_);
   }
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -136,6 +136,19 @@
     boost::asio::co_spawn(context, inspector.Watch(), boost::asio::detached);
   }
 
+  /// Stops accepting connections and closes the open ones.
+  void CutOff() {
+    for (HttpServer* it : {&server, &internal_server}) {
+      it->Close();
+      it->CutOff();
+    }
+  }
+
+  /// As `HttpServer::open_connections`, for both servers.
+  [[nodiscard]] std::size_t open_connections() const noexcept {
+    return server.open_connections() + internal_server.open_connections();
+  }
+
   SteadyClock clock;
   RelayState state;
   platform::EndpointClient control;
