Let the model endpoints of RelayFixture report the layers that they hold

They served all layers but reported none, so an endpoint that had been suspected and responded to an inspection was not used again.

--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -167,7 +167,8 @@
 
   void AddModel(const std::string& id,
                 const std::string& data_centre,
-                const fakes::ScriptedEndpoint& endpoint) {
+                fakes::ScriptedEndpoint& endpoint) {
+    endpoint.report = R"({"Layers":{"From":0,"To":80}})";
     EndpointRecord record;
     record.id = id;
     record.service = "model";
