Look after suspected endpoints while requests wait for them

Callers saw a stream truncated after 2.3 s: its first endpoint was silent for 1.2 s, the one that went on in its place for good. The second was given up after 2 s although the first one had been back for a second.

Cause: a suspected endpoint is inspected only in the last 0.5 s of its suspicion, which lasts 2 s when it follows another one. The request waited for a chain all that time, and nothing looked whether one was back.

A silent request that finds no other chain now says so, and the suspected endpoints of its service are inspected each 250 ms, less often with many daemons, until no request waits. An endpoint that responds is used after the usual 100 ms; one that leaves is not asked. Inspections keep to the limits that endpoints state, as before.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -26,6 +26,7 @@
  protected:
   using Attempt = StreamAttempt<Codec, TheClock>;
   using Processor::clock_;
+  using Processor::kNoChain;
   using Processor::state_;
   using typename Processor::RequestContext;
 
@@ -157,7 +158,7 @@
       if (limited != nullptr) {
         OnLimited(context, limited->first_endpoint());
       } else {
-        context.last_denial = "no_chain";
+        context.last_denial = kNoChain;
       }
       return nullptr;
     }
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -102,6 +102,7 @@
   using Opener::state_;
   using Processor::Elapsed;
   using Processor::FinalRefusal;
+  using Processor::kNoChain;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
   using Processor::MarkLeaving;
@@ -131,6 +132,9 @@
       const auto other =
           OpenSuccessor(executor, exchange.request(), context, *attempt);
       if (!other) {
+        if (context.last_denial == kNoChain) {
+          state_.OnChainAwaited(context.service->name, clock_.Now());
+        }
         LogSilence(context, *attempt, context.last_denial);
         co_return AttemptStep::kInterrupted;
       }
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -18,8 +18,9 @@
 
 namespace sycamoreford {
 
-/// Inspects the stages of stalled chains, slow endpoints and endpoints whose
-/// suspicion is about to end, and marks those that do not respond as suspected.
+/// Inspects the stages of stalled chains, slow endpoints, endpoints whose
+/// suspicion is about to end and suspected ones that requests wait for, and
+/// marks those that do not respond as suspected.
 /// While the daemon is isolated, tries whether endpoints can be reached again.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
@@ -53,6 +54,11 @@
           inspect(id);
         }
       }
+      const bool checks_suspects = now >= next_suspect_check_;
+      if (checks_suspects) {
+        next_suspect_check_ =
+            now + kSuspectCheckInterval * state_.interval_factor();
+      }
       for (const auto& [id, known] : state_.directory().endpoints()) {
         if (known.slowness > 1 && now >= next_slowness_check_[id]) {
           // Only another report can show that it is fast again.
@@ -60,9 +66,13 @@
               now + kSlownessCheckInterval * state_.interval_factor();
           inspect(id);
         }
-        const bool ends_soon = known.suspected_until > now &&
-                               known.suspected_until - now < kSuspicionEndLead;
-        if (ends_soon && !pending_inspections_.contains(id)) {
+        const bool is_suspected = known.suspected_until > now;
+        const bool ends_soon =
+            is_suspected && known.suspected_until - now < kSuspicionEndLead;
+        const bool is_awaited =
+            is_suspected && !known.record.is_leaving && checks_suspects &&
+            state_.IsChainAwaited(known.record.service, now);
+        if ((ends_soon || is_awaited) && !pending_inspections_.contains(id)) {
           inspect(id);
         }
       }
@@ -79,6 +89,9 @@
   /// Longer than a response may take, so that a dead endpoint is not used again
   /// before the inspection has ended.
   static constexpr std::chrono::milliseconds kSuspicionEndLead{500};
+  /// Interval between two inspections of suspected endpoints that requests wait
+  /// for, with few daemons.
+  static constexpr std::chrono::milliseconds kSuspectCheckInterval{250};
   /// Interval between two inspections of a slow endpoint, with few daemons.
   /// Each inspection is a paid call.
   static constexpr std::chrono::milliseconds kSlownessCheckInterval{2'000};
@@ -156,6 +169,7 @@
   }
 
   TimePoint next_probe_{};
+  TimePoint next_suspect_check_{};
   /// Id of the endpoint that an isolated daemon last tried to connect to.
   std::string last_probed_;
   /// Time of the next inspection of each slow endpoint, by id.
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -211,6 +211,13 @@
                            std::string_view reason,
                            TimePoint now);
 
+  /// Called when a request whose chain is silent found no other chain of its
+  /// service that it could be sent to.
+  void OnChainAwaited(const std::string& service, TimePoint now);
+  /// Whether requests wait for a chain of this service at present.
+  [[nodiscard]] bool IsChainAwaited(const std::string& service,
+                                    TimePoint now) const;
+
   /// Interrupts the calls that are silent since a suspicion, or since another
   /// daemon was last heard of, from time to time, since chains that can take
   /// their requests may have become available.
@@ -243,6 +250,8 @@
   std::map<std::string, ServiceChains> chains_;
   std::map<std::string, FleetRetryBudget> retry_budgets_;
   std::list<ActiveAttempt> attempts_;
+  /// When requests last found no other chain, by service.
+  std::map<std::string, TimePoint> awaited_at_;
   EndpointLimits limits_;
   PeerTable peers_;
   IsolationDetector isolation_;
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -302,6 +302,9 @@
   RelayState& state_;
   const TheClock& clock_;
 
+  /// The denial of a request that no chain can take.
+  static constexpr std::string_view kNoChain = "no_chain";
+
  private:
   static constexpr std::string_view kEndpointLimit = "endpoint_limit";
 
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -329,6 +329,18 @@
       .With("requests", requests);
 }
 
+void RelayState::OnChainAwaited(const std::string& service, TimePoint now) {
+  awaited_at_[service] = now;
+}
+
+bool RelayState::IsChainAwaited(const std::string& service,
+                                TimePoint now) const {
+  const auto found = awaited_at_.find(service);
+  // Requests that wait try again at each interval.
+  return found != awaited_at_.end() &&
+         now - found->second < 2 * kSilenceInterval;
+}
+
 void RelayState::InterruptSilentAttempts(TimePoint now) {
   for (ActiveAttempt& attempt : attempts_) {
     if (!attempt.peer.empty() && !attempt.next_interrupt_at &&
