Check the share of other relays once in relay_cut_off_test

The check stood in a loop over counts that nothing used, left from a search for a cause; it compared the same two figures each time. The condition is unchanged.

--- a/tests/relay_cut_off_test.cc
+++ b/tests/relay_cut_off_test.cc
@@ -271,13 +271,7 @@
   const Time end = std::chrono::steady_clock::now() - seconds(1);
 
   const Time from = cut + kContactTime;
-  std::map<std::string, int> m;
-  for (auto& a : deployment.answers)
-    if (a.sent >= from && a.sent < restored)
-      ++m[std::to_string(a.relay) + a.path + " " + std::to_string(a.status) +
-          " " + std::to_string(a.body.size())];
-  for (auto& [k, v] : m)
-    CHECK(deployment.ServedShare(false, from, restored) >= 0.98);
+  CHECK(deployment.ServedShare(false, from, restored) >= 0.98);
   CHECK(deployment.ServedShare(true, from, restored) >=
         0.95 * deployment.ServedShare(false, from, restored));
   CHECK(deployment.ServedShare(true, end - seconds(2), end) >= 0.98);
