Log the pauses that endpoints ask for

A response 503 of an endpoint may carry Retry-After.

Of model services, endpoint_backoff now says which run of an endpoint asked for how long, and whether it turned away a request, a report or an order; sycamoreford_relay_endpoint_backoffs_total counts them by that. No decision depends on it yet.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -115,6 +115,11 @@
     if (head().leaving_run) {
       state_.OnLeaving(*head().leaving_run, LeavingSource::kResponse);
     }
+    // Whatever else is wrong with the response, its sender asks for a pause.
+    if (head().retry_after && sender()) {
+      state_.OnRetryAfter(*sender(), *head().retry_after,
+                          BackoffSource::kRequest);
+    }
     if (head().IsTrusted()) {
       state_.OnStatedLimit(destination(), head().request_limit, sent_at(),
                            clock().Now());
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -129,6 +129,7 @@
       co_return;
     }
     const std::string address = known->record.address;
+    const EndpointRunId run = RunOf(known->record);
     const TimePoint sent_at = clock_.Now();
     state_.OnSent(id, sent_at);
     const auto report = co_await control_.FetchReport(address);
@@ -138,6 +139,10 @@
     } else {
       state_.OnUnreachable(id, clock_.Now());
     }
+    if (!report && report.error().retry_after) {
+      state_.OnRetryAfter(run, *report.error().retry_after,
+                          BackoffSource::kReport);
+    }
     if (!report) {
       state_.OnEndpointSuspected(id, "no_report", clock_.Now());
       co_return;
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -133,6 +133,7 @@
       next_check = clock_.Now() + kSuspectCheckInterval;
       state_.OnSent(id, clock_.Now());
       const auto report = co_await control_.FetchReport(address);
+      NoteRetryAfter(id, report);
       const KnownEndpoint* known = state_.directory().Find(id);
       const bool is_same_run =
           report && known != nullptr &&
@@ -148,6 +149,16 @@
     }
   }
 
+  /// Records the pause that an endpoint asked for instead of a report, if any.
+  void NoteRetryAfter(const std::string& id,
+                      const Result<EndpointReport>& report) {
+    const KnownEndpoint* known = state_.directory().Find(id);
+    if (known != nullptr && !report && report.error().retry_after) {
+      state_.OnRetryAfter(RunOf(known->record), *report.error().retry_after,
+                          BackoffSource::kReport);
+    }
+  }
+
   template <class Executor>
   void PlaceLayers(const RelayService& service, const Executor& executor) {
     const TimePoint now = clock_.Now();
@@ -174,6 +185,7 @@
     const std::string address = known->record.address;
     state_.OnSent(change.accelerator_id, clock_.Now());
     const auto report = co_await control_.FetchReport(address);
+    NoteRetryAfter(change.accelerator_id, report);
     const auto token = lease_.Token();
     if (!report || !token || report->is_busy) {
       LogEvent(Severity::kInfo, "order_not_given")
@@ -212,6 +224,10 @@
       state_.OnLeaving({change.accelerator_id, report->started_at_ms},
                        LeavingSource::kOrder);
     }
+    if (reply && reply->retry_after) {
+      state_.OnRetryAfter({change.accelerator_id, report->started_at_ms},
+                          *reply->retry_after, BackoffSource::kOrder);
+    }
     LogEvent(Severity::kInfo, "order_given")
         .With("endpoint", change.accelerator_id)
         .With("first_layer", change.layers.first)
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -17,6 +18,7 @@
 #include "sycamoreford/fleet/isolation_detector.h"
 #include "sycamoreford/fleet/leaving_source.h"
 #include "sycamoreford/fleet/peer_table.h"
+#include "sycamoreford/relay/backoff_source.h"
 #include "sycamoreford/relay/chain_selector.h"
 #include "sycamoreford/relay/chain_stall_detector.h"
 #include "sycamoreford/relay/endpoint_limits.h"
@@ -198,6 +200,14 @@
                      const std::string& daemon,
                      TimePoint now);
 
+  /// Called when a run of an endpoint turned something away and asked for a
+  /// pause.
+  ///
+  /// \param time how long it wants nothing more from this daemon.
+  void OnRetryAfter(const EndpointRunId& run,
+                    std::chrono::milliseconds time,
+                    BackoffSource source);
+
   /// Called for each request, inspection and order that is sent to an endpoint.
   void OnSent(const std::string& id, TimePoint now);
 
--- a/include/sycamoreford/fleet/endpoint_control.h
+++ b/include/sycamoreford/fleet/endpoint_control.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -41,10 +43,13 @@
   OrderOutcome outcome = OrderOutcome::kRefused;
   /// Whether the endpoint states that it will stop soon.
   bool is_leaving = false;
+  /// As `ResponseHead::retry_after`.
+  std::optional<std::chrono::milliseconds> retry_after;
 };
 
 /// Reads reports of endpoints and sends them orders. An order whose call failed
-/// may still be carried out later.
+/// may still be carried out later. A report that the endpoint refuses with a
+/// time to stay away is a failure with `retry_after`.
 template <class T>
 concept EndpointControl = requires(T& control,
                                    const std::string& address,
--- a/include/sycamoreford/relay/relay_metrics.h
+++ b/include/sycamoreford/relay/relay_metrics.h
@@ -55,6 +55,11 @@
   /// \param source name of a `LeavingSource`.
   void OnLeaving(std::string_view source) { ++leaving_[std::string(source)]; }
 
+  /// Records that an endpoint asked for a pause.
+  ///
+  /// \param source name of a `BackoffSource`.
+  void OnBackoff(std::string_view source) { ++backoffs_[std::string(source)]; }
+
   /// All series in the Prometheus text format.
   [[nodiscard]] std::string ToPrometheus() const;
 
@@ -80,6 +85,8 @@
   std::map<std::string, ServiceSeries> services_;
   /// Endpoints found to be leaving, by source.
   std::map<std::string, std::uint64_t> leaving_;
+  /// Pauses that endpoints asked for, by source.
+  std::map<std::string, std::uint64_t> backoffs_;
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>>
       customers_;
 };
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -83,6 +83,9 @@
   /// Requests per second that the endpoint accepts from all daemons together;
   /// empty if it states no limit.
   std::optional<double> request_limit;
+  /// How long the sender of the response wants nothing more from this daemon;
+  /// empty if it does not state it.
+  std::optional<std::chrono::milliseconds> retry_after;
   /// Whether the response states that the endpoint will stop soon.
   /// `leaving_run` tells whether that is believed.
   bool is_leaving = false;
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -246,6 +246,17 @@
   }
 }
 
+void RelayState::OnRetryAfter(const EndpointRunId& run,
+                              std::chrono::milliseconds time,
+                              BackoffSource source) {
+  metrics_.OnBackoff(ToString(source));
+  LogEvent(Severity::kInfo, "endpoint_backoff")
+      .With("endpoint", run.id)
+      .With("started_at_ms", run.started_at_ms)
+      .With("for_ms", time)
+      .With("source", ToString(source));
+}
+
 void RelayState::OnSent(const std::string& id, TimePoint now) {
   if (limits_.OnSent(id, now) && notify_limits_) {
     notify_limits_();
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -73,6 +73,11 @@
     AppendSample(text, "sycamoreford_relay_leaving_endpoints_total",
                  label("source", source), std::to_string(count));
   }
+  AppendType(text, "sycamoreford_relay_endpoint_backoffs_total", "counter");
+  for (const auto& [source, count] : backoffs_) {
+    AppendSample(text, "sycamoreford_relay_endpoint_backoffs_total",
+                 label("source", source), std::to_string(count));
+  }
   const auto times = [&](const std::string& name,
                          TimeHistogram ServiceSeries::*member) {
     AppendType(text, name, "histogram");
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -21,6 +21,34 @@
     "Bounds.GraceS=8\nBounds.RetryBudgetRatio=0.2\n"
     "Bounds.BudgetExtra=202\nBounds.BudgetWindowS=10\nSomething.New=1\n";
 
+TEST_CASE("the pause that an endpoint asks for") {
+  const auto decode = [](unsigned status, const auto&... texts) {
+    HttpFields fields;
+    (fields.Add("retry-after", texts), ...);
+    return HttpRelayCodec::DecodeResponseHead("r1", status, fields).retry_after;
+  };
+  REQUIRE(decode(503, "3") == milliseconds(3'000));
+  REQUIRE(decode(503, "0.25") == milliseconds(250));
+  REQUIRE(decode(503, "1e3") == milliseconds(1'000'000));
+  REQUIRE(decode(503, "1000000000000") == std::chrono::seconds(1'000'000'000));
+
+  SECTION("the longest of several ones") {
+    REQUIRE(decode(503, "1", "3", "soon") == milliseconds(3'000));
+  }
+  SECTION("nothing that is no time") {
+    for (const char* text : {"", "0", "-1", "soon", "nan", "inf", "3 s",
+                             "Fri, 04 Dec 2026 17:00:00 GMT"}) {
+      CAPTURE(text);
+      REQUIRE_FALSE(decode(503, text));
+    }
+  }
+  SECTION("only with status 503") {
+    for (const unsigned status : {200U, 421U, 429U, 500U, 502U}) {
+      REQUIRE_FALSE(decode(status, "3"));
+    }
+  }
+}
+
 TEST_CASE("the request limit that an endpoint states") {
   const auto decode = [](const std::string& text) {
     HttpFields fields;
