--- a/tests/fakes/scripted_endpoint.cc
+++ b/tests/fakes/scripted_endpoint.cc
@@ -82,6 +82,9 @@
 
 EndpointScript ScriptedEndpoint::NextScript(const HttpRequest& request) {
   if (request.target == "/report") {
+    if (report_responder_) {
+      return report_responder_();
+    }
     if (!report_script.empty()) {
       return report_script;
     }
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -87,6 +87,12 @@
     responder_ = std::move(respond);
   }
 
+  /// Sets a function that returns the script for each request for `/report`,
+  /// instead of `report` and `report_script`.
+  void SetReportResponder(std::function<EndpointScript()> respond) {
+    report_responder_ = std::move(respond);
+  }
+
   [[nodiscard]] std::string address() const;
 
   /// The requests received so far, without those for `/report`.
@@ -117,6 +123,7 @@
   std::chrono::steady_clock::time_point silent_until_{};
   std::deque<EndpointScript> scripts_;
   std::function<EndpointScript(const HttpRequest&)> responder_;
+  std::function<EndpointScript()> report_responder_;
   mutable std::mutex mutex_;
   std::vector<HttpRequest> requests_;
   int closed_by_peer_count_ = 0;
