Move failover between chains and pending attempts to files of their own

ChainFailover is what ChainForwarder did with attempts that have failed or are silent; PendingAttempts was nested in EndpointForwarder.

--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -4,19 +4,14 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <utility>
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/this_coro.hpp>
 
-#include "sycamoreford/adapters/abandon_guard.h"
-#include "sycamoreford/adapters/background_task.h"
-#include "sycamoreford/adapters/chain_attempt_opener.h"
+#include "sycamoreford/adapters/chain_failover.h"
 #include "sycamoreford/adapters/request_processor.h"
 #include "sycamoreford/adapters/stream_progress.h"
-#include "sycamoreford/adapters/wake_signal.h"
 
 namespace sycamoreford {
 
@@ -25,15 +20,15 @@
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
-class ChainForwarder : private ChainAttemptOpener<Codec, TheClock> {
-  using Opener = ChainAttemptOpener<Codec, TheClock>;
+class ChainForwarder : private ChainFailover<Codec, TheClock> {
+  using Failover = ChainFailover<Codec, TheClock>;
   using Processor = RequestProcessor<Codec, TheClock>;
-  using typename Opener::RequestContext;
+  using typename Failover::RequestContext;
 
  public:
   /// Precondition: `state` and `clock` outlive this object.
   ChainForwarder(RelayState& state, const TheClock& clock)
-      : Opener(state, clock) {}
+      : Failover(state, clock) {}
 
   /// Sends a request along chains until its response is complete.
   boost::asio::awaitable<void> Serve(HttpExchange& exchange,
@@ -97,157 +92,18 @@
   }
 
  private:
-  using Opener::clock_;
-  using Opener::OpenAttempt;
-  using Opener::state_;
-  using Processor::Elapsed;
+  using Failover::clock_;
+  using Failover::Elapsed;
+  using Failover::OnAttemptFailed;
+  using Failover::OpenAttempt;
+  using Failover::state_;
+  using Failover::ThrowIfCallerGone;
+  using Failover::TryOthers;
   using Processor::FinalRefusal;
-  using Processor::kNoChain;
-  using Processor::LogNotRun;
-  using Processor::LogResponseLost;
   using Processor::MarkLeaving;
-  using Processor::RecordFailedForward;
-  using Processor::RecordFailedSend;
   using Processor::RecordOutcome;
   using Processor::Refuse;
-  using Processor::ThrowIfCallerGone;
-  using typename Opener::Attempt;
-
-  /// Tries other chains for a request whose attempt is suspected to be silent.
-  /// A silent endpoint may go on, so the attempt stays open until a successor
-  /// goes on in its place; whichever goes on first is kept.
-  ///
-  /// \param attempt replaced by the attempt to go on with.
-  /// \returns the next step of `attempt`; `kInterrupted` if it is not silent or
-  ///     if no other chain can be tried at present.
-  boost::asio::awaitable<AttemptStep> TryOthers(
-      HttpExchange& exchange,
-      RequestContext& context,
-      std::shared_ptr<Attempt>& attempt) {
-    const auto executor = co_await boost::asio::this_coro::executor;
-    for (;;) {
-      if (!MayTryOthers(context, *attempt)) {
-        co_return AttemptStep::kInterrupted;
-      }
-      const auto other =
-          OpenSuccessor(executor, exchange.request(), context, *attempt);
-      if (!other) {
-        if (context.last_denial == kNoChain) {
-          state_.OnChainAwaited(context.service->name, clock_.Now());
-        }
-        LogSilence(context, *attempt, context.last_denial);
-        co_return AttemptStep::kInterrupted;
-      }
-      AbandonGuard<Attempt> guard(*other);
-      WakeSignal ended(executor);
-      const auto is_wanted = std::make_shared<bool>(false);
-      const BackgroundTask<AttemptStep> task(
-          executor, FirstProgress(other, is_wanted), AttemptStep::kLost,
-          [&ended, &current = *attempt] {
-            ended.Notify();
-            current.Interrupt();
-          });
-      AttemptStep step = AttemptStep::kInterrupted;
-      while (step == AttemptStep::kInterrupted && !task.result()) {
-        step = co_await attempt->Next();
-        co_await ThrowIfCallerGone();
-      }
-      attempt->ClearInterrupt();
-      if (IsGoingOn(*attempt, step)) {
-        attempt->ResumeLoad();
-        if (other->was_sent()) {
-          context.tried_endpoints.insert(other->destination());
-        } else {
-          --context.sends;
-        }
-        LogSilence(context, *attempt, "went_on");
-        co_return step;
-      }
-      if (step != AttemptStep::kInterrupted) {
-        OnAttemptFailed(context, *attempt, step);
-        // The caller of this function can leave the other one if it is silent.
-        *is_wanted = true;
-        other->Interrupt();
-        while (!task.result()) {
-          co_await ended.Wait(context.TimeLeft(clock_.Now()) +
-                              relay::kMinTimeLeft);
-          co_await ThrowIfCallerGone();
-        }
-        other->ClearInterrupt();
-      } else if (IsGoingOn(*other, *task.result())) {
-        LogSilence(context, *attempt, "replaced");
-        RecordFailedSend(context, AttemptStep::kLost, attempt->destination());
-      } else {
-        OnAttemptFailed(context, *other, *task.result());
-        continue;
-      }
-      guard.Keep();
-      attempt = other;
-      co_return *task.result();
-    }
-  }
-
-  /// Whether an attempt is silent and its request may be sent elsewhere.
-  bool MayTryOthers(RequestContext& context, const Attempt& attempt) const {
-    if (attempt.HasReceivedSince(clock_.Now() - relay::kMinSilence)) {
-      return false;
-    }
-    if (!context.MayRunAgain()) {
-      LogSilence(context, attempt, "runs_at_most_once");
-    }
-    return context.MayRunAgain();
-  }
-
-  /// The first step of an attempt that decides whether it goes on;
-  /// `kInterrupted` if it is interrupted when `is_wanted` is set.
-  static boost::asio::awaitable<AttemptStep> FirstProgress(
-      std::shared_ptr<Attempt> attempt,
-      std::shared_ptr<bool> is_wanted) {
-    AttemptStep step = AttemptStep::kInterrupted;
-    while ((step == AttemptStep::kInterrupted && !*is_wanted) ||
-           step == AttemptStep::kStreamBegun) {
-      step = co_await attempt->Next();
-    }
-    co_return step;
-  }
-
-  /// Whether a step brings the caller's response forward.
-  [[nodiscard]] static bool IsGoingOn(const Attempt& attempt,
-                                      AttemptStep step) {
-    switch (step) {
-      case AttemptStep::kStreamBegun:
-      case AttemptStep::kEvents:
-      case AttemptStep::kStreamEnded:
-        return true;
-      case AttemptStep::kResponse:
-        return attempt.head().IsTrusted() && !attempt.head().IsServerError();
-      case AttemptStep::kNotRun:
-      case AttemptStep::kNotSent:
-      case AttemptStep::kLost:
-      case AttemptStep::kInterrupted:
-        return false;
-    }
-    return false;
-  }
-
-  /// Starts to send a request whose attempt is silent to another chain.
-  ///
-  /// \returns null if no chain can be tried.
-  std::shared_ptr<Attempt> OpenSuccessor(
-      const boost::asio::any_io_executor& executor,
-      const HttpRequest& request,
-      RequestContext& context,
-      Attempt& attempt) {
-    context.tried_endpoints.insert(attempt.destination());
-    // One of the two ends soon; only the successor counts as load until then.
-    attempt.SuspendLoad();
-    auto successor =
-        OpenAttempt(executor, request, context, attempt.position());
-    if (!successor) {
-      attempt.ResumeLoad();
-    }
-    return successor;
-  }
+  using typename Failover::Attempt;
 
   /// Forwards the events of the last step.
   boost::asio::awaitable<void> DeliverEvents(HttpExchange& exchange,
@@ -319,59 +175,6 @@
     co_return true;
   }
 
-  void RecordFailure(RequestContext& context,
-                     AttemptStep step,
-                     const Attempt& attempt) {
-    if (attempt.is_forwarded()) {
-      RecordFailedForward(context, step, attempt.destination());
-    } else {
-      RecordFailedSend(context, step, attempt.destination());
-    }
-  }
-
-  /// Called when an attempt has ended without a usable response.
-  void OnAttemptFailed(RequestContext& context,
-                       Attempt& attempt,
-                       AttemptStep step) {
-    RecordFailure(context, step, attempt);
-    if (step == AttemptStep::kNotRun) {
-      const KnownEndpoint* faulty_stage =
-          state_.directory().FindByAddress(attempt.head().faulty_stage_address);
-      LogNotRun(context,
-                faulty_stage == nullptr ? attempt.destination()
-                                        : faulty_stage->record.id,
-                attempt.head());
-    } else if (step == AttemptStep::kResponse) {
-      LogResponseLost(
-          context, attempt.destination(),
-          {.code = Errc::kEndpointFailed,
-           .where = "status " + std::to_string(attempt.head().status)},
-          attempt.has_begun(), attempt.position().event_count());
-    } else if (step != AttemptStep::kNotSent) {
-      LogResponseLost(context, attempt.destination(), attempt.failure(),
-                      attempt.has_begun(), attempt.position().event_count());
-    }
-    attempt.OnFailed(step);
-  }
-
-  /// Logs what became of a request whose chain is suspected to be silent. A
-  /// repeated reason not to try another chain is not logged again.
-  void LogSilence(RequestContext& context,
-                  const Attempt& attempt,
-                  std::string_view outcome) const {
-    if (context.silence_outcome == outcome) {
-      return;
-    }
-    context.silence_outcome = outcome;
-    LogEvent(Severity::kInfo, "attempt_silent")
-        .With("request", context.request.id)
-        .With("endpoint", attempt.destination())
-        .With("outcome", outcome)
-        .With("events", attempt.position().event_count())
-        .With("sends", context.sends)
-        .With("after_ms", Elapsed(context));
-  }
-
   /// Logs a completed stream. Only a sample of those that were sent once is
   /// logged, but all that were sent several times.
   void LogAnswered(const RequestContext& context,
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -16,8 +16,8 @@
 #include "sycamoreford/adapters/background_task.h"
 #include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/endpoint_attempt.h"
+#include "sycamoreford/adapters/pending_attempts.h"
 #include "sycamoreford/adapters/request_processor.h"
-#include "sycamoreford/adapters/wake_signal.h"
 
 namespace sycamoreford {
 
@@ -67,6 +67,8 @@
 
  private:
   using ToEndpoint = EndpointAttempt<Codec, TheClock>;
+  using PendingAttempts = sycamoreford::PendingAttempts<ToEndpoint>;
+  using PendingAttempt = typename PendingAttempts::Entry;
   using Processor::AcquirePeer;
   using Processor::clock_;
   using Processor::EncodeForPeer;
@@ -86,29 +88,6 @@
   using Processor::ThrowIfCallerGone;
   using Processor::TryAcquireSend;
 
-  /// An attempt that runs in the background.
-  struct PendingAttempt {
-    std::shared_ptr<ToEndpoint> attempt;
-    std::unique_ptr<BackgroundTask<AttemptStep>> task;
-  };
-
-  /// Attempts of one request that run at the same time; those that are left are
-  /// abandoned on destruction.
-  struct PendingAttempts {
-    explicit PendingAttempts(const boost::asio::any_io_executor& executor)
-        : ended(executor) {}
-    PendingAttempts(const PendingAttempts&) = delete;
-    PendingAttempts& operator=(const PendingAttempts&) = delete;
-    ~PendingAttempts() {
-      for (const PendingAttempt& pending : attempts) {
-        pending.attempt->Abandon();
-      }
-    }
-    /// Notified when an attempt has ended.
-    WakeSignal ended;
-    std::vector<PendingAttempt> attempts;
-  };
-
   /// Whether the request may be sent to a further endpoint while others run it.
   [[nodiscard]] static bool MayTryFurtherEndpoint(
       const RequestContext& context) {
