Send nothing to endpoints of chains that ask for a pause

Callers saw no error.

Cause: no part of the way to an endpoint read Retry-After. A rejection led to the next chain and was forgotten, so the next request, a retry of the same one, an inspection or an order went to the same endpoint. The class: what an endpoint says about itself is used for one request only.

EndpointGate now decides whether anything may be sent to an endpoint, by the limits and the pauses that it asked for. Everything that is sent to endpoints of model services asks it; a request that waits for its connection asks again when that is established. A pause belongs to a run of an endpoint and ends by time only. Chains are built past endpoints in a pause as past those with a limit.

--- a/include/sycamoreford/adapters/attempt_step.h
+++ b/include/sycamoreford/adapters/attempt_step.h
@@ -17,6 +17,9 @@
   kNotRun,
   /// No connection was established, so nothing was sent.
   kNotSent,
+  /// Nothing was sent, since the endpoint asked for a pause before the
+  /// connection was established.
+  kWithheld,
   /// The response was lost; the request may have run.
   kLost,
   /// The wait was interrupted, for example because a stage of the chain is
--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -118,7 +118,7 @@
     // Whatever else is wrong with the response, its sender asks for a pause.
     if (head().retry_after && sender()) {
       state_.OnRetryAfter(*sender(), *head().retry_after,
-                          BackoffSource::kRequest);
+                          BackoffSource::kRequest, clock().Now());
     }
     if (head().IsTrusted()) {
       state_.OnStatedLimit(destination(), head().request_limit, sent_at(),
--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -67,7 +67,8 @@
   using Processor::EncodeForPeer;
   using Processor::MayBeSent;
   using Processor::MayConnect;
-  using Processor::OnLimited;
+  using Processor::MaySendTo;
+  using Processor::OnClosed;
   using Processor::OnSentFor;
   using Processor::TryAcquireSend;
 
@@ -152,11 +153,10 @@
       return selector.Pick(tokens, state_.daemon_count(),
                            context.tried_endpoints, only_tried, now, excluded);
     };
-    const ServingChain* chain = pick(state_.limits().Exhausted(now));
+    const ServingChain* chain = pick(state_.gate().Closed(now));
     if (chain == nullptr) {
-      const ServingChain* limited = pick({});
-      if (limited != nullptr) {
-        OnLimited(context, limited->first_endpoint());
+      if (pick({}) != nullptr) {
+        OnClosed(context);
       } else {
         context.last_denial = kNoChain;
       }
@@ -176,6 +176,7 @@
             .stream = {.request_id = context.request.id,
                        .address = stages.front().address,
                        .request = std::move(encoded),
+                       .may_send = MaySendTo(stages.front().endpoint.value()),
                        .on_sent = OnSentFor(context),
                        .deadline = context.deadline,
                        .connect_timeout = relay::kConnectTimeout,
--- a/include/sycamoreford/adapters/chain_failover.h
+++ b/include/sycamoreford/adapters/chain_failover.h
@@ -117,6 +117,9 @@
                        AttemptStep step) {
     RecordFailure(context, step, attempt);
     if (step == AttemptStep::kNotRun) {
+      if (attempt.is_forwarded()) {
+        NoteRetryAfterOfPeer(context, attempt.head());
+      }
       const KnownEndpoint* faulty_stage =
           state_.directory().FindByAddress(attempt.head().faulty_stage_address);
       LogNotRun(context,
@@ -129,7 +132,7 @@
           {.code = Errc::kEndpointFailed,
            .where = "status " + std::to_string(attempt.head().status)},
           attempt.has_begun(), attempt.position().event_count());
-    } else if (step != AttemptStep::kNotSent) {
+    } else if (step == AttemptStep::kLost) {
       LogResponseLost(context, attempt.destination(), attempt.failure(),
                       attempt.has_begun(), attempt.position().event_count());
     }
@@ -140,6 +143,7 @@
   using Processor::kNoChain;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
+  using Processor::NoteRetryAfterOfPeer;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
 
@@ -179,6 +183,7 @@
         return attempt.head().IsTrusted() && !attempt.head().IsServerError();
       case AttemptStep::kNotRun:
       case AttemptStep::kNotSent:
+      case AttemptStep::kWithheld:
       case AttemptStep::kLost:
       case AttemptStep::kInterrupted:
         return false;
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -65,6 +65,7 @@
         }
         case AttemptStep::kNotRun:
         case AttemptStep::kNotSent:
+        case AttemptStep::kWithheld:
         case AttemptStep::kLost:
           break;
       }
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -78,7 +78,7 @@
   using Processor::MarkLeaving;
   using Processor::MayBeSent;
   using Processor::MayConnect;
-  using Processor::OnLimited;
+  using Processor::OnClosed;
   using Processor::OnSentFor;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
@@ -195,9 +195,9 @@
     const KnownEndpoint* endpoint =
         MayConnect(context) ? pick(excluded) : nullptr;
     if (endpoint == nullptr) {
-      const KnownEndpoint* limited = pick(context.tried_endpoints);
-      if (limited != nullptr && context.last_denial.empty()) {
-        OnLimited(context, limited->record.id);
+      if (context.last_denial.empty() &&
+          pick(context.tried_endpoints) != nullptr) {
+        OnClosed(context);
       }
       return std::nullopt;
     }
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -42,6 +42,7 @@
       co_await Pause(kPollInterval);
       const TimePoint now = clock_.Now();
       state_.InterruptSilentAttempts(now);
+      state_.ExpireBackoffs(now);
       if (state_.is_isolated() && now >= next_probe_) {
         next_probe_ = now + kProbeInterval;
         boost::asio::co_spawn(executor, ProbeNext(), boost::asio::detached);
@@ -116,15 +117,15 @@
   }
 
   /// Fetches and evaluates the report of an endpoint. Does nothing while
-  /// another inspection of the endpoint is running, or if its limit does not
-  /// allow one.
+  /// another inspection of the endpoint is running, or if the endpoint accepts
+  /// none at present.
   boost::asio::awaitable<void> Inspect(std::string id) {
     const KnownEndpoint* known = state_.directory().Find(id);
     if (known == nullptr || known->record.kind.empty()) {
       // Endpoints of plain services have no report; a suspicion just ends.
       co_return;
     }
-    if (!state_.limits().MayOverdraw(id, clock_.Now()) ||
+    if (!state_.gate().MaySend(id, SendKind::kInspection, clock_.Now()) ||
         !pending_inspections_.insert(id).second) {
       co_return;
     }
@@ -141,7 +142,9 @@
     }
     if (!report && report.error().retry_after) {
       state_.OnRetryAfter(run, *report.error().retry_after,
-                          BackoffSource::kReport);
+                          BackoffSource::kReport, clock_.Now());
+      // It responds, so it is not lost.
+      co_return;
     }
     if (!report) {
       state_.OnEndpointSuspected(id, "no_report", clock_.Now());
--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,12 +43,15 @@
   /// Connects and sends the request; the first part of `Start`.
   ///
   /// \param timeout maximum time in total, including the connection.
+  /// \param may_send if set, called when the connection is established; if it
+  ///     returns false, nothing is sent.
   /// Precondition: called once, instead of `Start`.
   [[nodiscard]] boost::asio::awaitable<std::optional<Failure>> Send(
       const std::string& address,
       const HttpRequest& request,
       std::chrono::milliseconds connect_timeout,
-      std::chrono::milliseconds timeout);
+      std::chrono::milliseconds timeout,
+      std::function<bool()> may_send = {});
 
   /// Receives the response header; the second part of `Start`. May be called
   /// again after an interruption.
@@ -75,6 +79,9 @@
   /// Whether any byte of the request may have reached the other end.
   [[nodiscard]] bool was_sent() const noexcept;
 
+  /// Whether nothing was sent because `may_send` returned false.
+  [[nodiscard]] bool was_withheld() const noexcept;
+
   /// Connects, sends the request and receives the response header.
   ///
   /// \param address IP address and port.
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -91,6 +91,9 @@
   static constexpr std::chrono::milliseconds kPlacementInterval{100};
   /// Interval between two checks of a suspected endpoint.
   static constexpr std::chrono::milliseconds kSuspectCheckInterval{400};
+  /// An endpoint that wants nothing for longer is not planned with; of the
+  /// order of the time in which another one loads its layers.
+  static constexpr std::chrono::seconds kMaxAwaitedBackoff{30};
 
   /// Acquires and renews the lease. An isolated daemon lets it lapse: it can
   /// neither tell which endpoints are lost nor send them orders.
@@ -119,21 +122,26 @@
   /// regarded as lost when layers are placed.
   boost::asio::awaitable<void> CheckSuspects() {
     const TimePoint now = clock_.Now();
-    std::vector<std::pair<std::string, std::string>> suspects;
+    std::vector<EndpointRecord> suspects;
     for (const auto& [id, known] : state_.directory().endpoints()) {
       if (now < known.suspected_until || unresponsive_.contains(id)) {
-        suspects.emplace_back(id, known.record.address);
+        suspects.push_back(known.record);
       }
     }
-    for (const auto& [id, address] : suspects) {
+    for (const EndpointRecord& suspect : suspects) {
+      const std::string& id = suspect.id;
       auto& next_check = next_check_[id];
-      if (clock_.Now() < next_check) {
+      if (clock_.Now() < next_check ||
+          !state_.gate().MaySend(id, SendKind::kOrder, clock_.Now())) {
         continue;
       }
       next_check = clock_.Now() + kSuspectCheckInterval;
       state_.OnSent(id, clock_.Now());
-      const auto report = co_await control_.FetchReport(address);
-      NoteRetryAfter(id, report);
+      const auto report = co_await control_.FetchReport(suspect.address);
+      if (NoteRetryAfter(RunOf(suspect), report)) {
+        // It responds, so it is not lost.
+        continue;
+      }
       const KnownEndpoint* known = state_.directory().Find(id);
       const bool is_same_run =
           report && known != nullptr &&
@@ -149,14 +157,38 @@
     }
   }
 
-  /// Records the pause that an endpoint asked for instead of a report, if any.
-  void NoteRetryAfter(const std::string& id,
+  /// Records the pause that an endpoint asked for instead of a report.
+  ///
+  /// \returns whether it asked for one.
+  bool NoteRetryAfter(const EndpointRunId& run,
                       const Result<EndpointReport>& report) {
-    const KnownEndpoint* known = state_.directory().Find(id);
-    if (known != nullptr && !report && report.error().retry_after) {
-      state_.OnRetryAfter(RunOf(known->record), *report.error().retry_after,
-                          BackoffSource::kReport);
+    if (report || !report.error().retry_after) {
+      return false;
+    }
+    state_.OnRetryAfter(run, *report.error().retry_after,
+                        BackoffSource::kReport, clock_.Now());
+    return true;
+  }
+
+  /// Whether an endpoint has asked for a pause, so that no order is given.
+  bool IsOrderWithheld(const std::string& id) {
+    if (state_.gate().MaySend(id, SendKind::kOrder, clock_.Now())) {
+      return false;
     }
+    state_.metrics().OnWithheld("order");
+    LogEvent(Severity::kInfo, "order_not_given")
+        .With("endpoint", id)
+        .With("reason", "backoff");
+    scheduler_.OnRefused(id, clock_.Now());
+    return true;
+  }
+
+  /// Whether the layers of an endpoint are better loaded elsewhere than
+  /// awaited.
+  [[nodiscard]] bool IsBackedOffForLong(const KnownEndpoint& known,
+                                        TimePoint now) {
+    return state_.gate().backoffs().TimeLeft(RunOf(known.record), now) >
+           kMaxAwaitedBackoff;
   }
 
   template <class Executor>
@@ -166,7 +198,8 @@
     std::erase_if(accelerators, [&](const Accelerator& accelerator) {
       const KnownEndpoint* known = state_.directory().Find(accelerator.id);
       return known->record.is_leaving || known->drop_at.has_value() ||
-             unresponsive_.contains(accelerator.id);
+             unresponsive_.contains(accelerator.id) ||
+             IsBackedOffForLong(*known, now);
     });
     const auto in_use =
         AcceleratorsInUse(state_.ChainSelectorFor(service, now).chains());
@@ -182,10 +215,14 @@
     if (known == nullptr) {
       co_return;
     }
+    if (IsOrderWithheld(change.accelerator_id)) {
+      co_return;
+    }
     const std::string address = known->record.address;
+    const EndpointRunId run = RunOf(known->record);
     state_.OnSent(change.accelerator_id, clock_.Now());
     const auto report = co_await control_.FetchReport(address);
-    NoteRetryAfter(change.accelerator_id, report);
+    (void)NoteRetryAfter(run, report);
     const auto token = lease_.Token();
     if (!report || !token || report->is_busy) {
       LogEvent(Severity::kInfo, "order_not_given")
@@ -214,6 +251,9 @@
       scheduler_.CancelOrder(change.accelerator_id);
       co_return;
     }
+    if (IsOrderWithheld(change.accelerator_id)) {
+      co_return;
+    }
     LayerOrder order;
     order.layers = change.layers;
     order.fencing = *token;
@@ -226,7 +266,8 @@
     }
     if (reply && reply->retry_after) {
       state_.OnRetryAfter({change.accelerator_id, report->started_at_ms},
-                          *reply->retry_after, BackoffSource::kOrder);
+                          *reply->retry_after, BackoffSource::kOrder,
+                          clock_.Now());
     }
     LogEvent(Severity::kInfo, "order_given")
         .With("endpoint", change.accelerator_id)
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -21,7 +21,7 @@
 #include "sycamoreford/relay/backoff_source.h"
 #include "sycamoreford/relay/chain_selector.h"
 #include "sycamoreford/relay/chain_stall_detector.h"
-#include "sycamoreford/relay/endpoint_limits.h"
+#include "sycamoreford/relay/endpoint_gate.h"
 #include "sycamoreford/relay/fleet_retry_budget.h"
 #include "sycamoreford/relay/manifest.h"
 #include "sycamoreford/relay/relay_metrics.h"
@@ -105,7 +105,7 @@
   void SetDaemons(std::uint32_t daemon_count, std::size_t rank) {
     daemon_count_ = daemon_count;
     rank_ = rank;
-    limits_.SetDaemons(daemon_count, interval_factor());
+    limits().SetDaemons(daemon_count, interval_factor());
     peers_.SetIntervalFactor(interval_factor());
   }
   /// Factor for the intervals of calls that every daemon makes, so that the
@@ -163,12 +163,21 @@
     return isolation_.is_isolated();
   }
 
-  /// Whether this daemon has endpoints for a service: chains of all layers, or
-  /// an endpoint that is not suspected.
+  /// Whether this daemon has endpoints for a service, at rest or not.
   [[nodiscard]] bool HasEndpointsFor(const RelayService& service,
-                                     TimePoint now);
+                                     TimePoint now) {
+    return !DestinationsOf(service, now).empty();
+  }
+
+  /// Decides whether anything may be sent to an endpoint.
+  [[nodiscard]] EndpointGate& gate() noexcept { return gate_; }
+  [[nodiscard]] EndpointLimits& limits() noexcept { return gate_.limits(); }
 
-  [[nodiscard]] EndpointLimits& limits() noexcept { return limits_; }
+  /// Ids of the endpoints to which requests for a service are sent: the first
+  /// endpoints of its chains, or those that are not suspected.
+  [[nodiscard]] std::vector<std::string> DestinationsOf(
+      const RelayService& service,
+      TimePoint now);
 
   /// Sets the function that sends the due reports on limits to other daemons.
   void SetLimitNotifier(std::function<void()> notify) {
@@ -201,12 +210,16 @@
                      TimePoint now);
 
   /// Called when a run of an endpoint turned something away and asked for a
-  /// pause.
+  /// pause. The other daemons are not told: it asked this one.
   ///
   /// \param time how long it wants nothing more from this daemon.
   void OnRetryAfter(const EndpointRunId& run,
                     std::chrono::milliseconds time,
-                    BackoffSource source);
+                    BackoffSource source,
+                    TimePoint now);
+
+  /// Logs and forgets the pauses that have ended.
+  void ExpireBackoffs(TimePoint now);
 
   /// Called for each request, inspection and order that is sent to an endpoint.
   void OnSent(const std::string& id, TimePoint now);
@@ -244,7 +257,7 @@
     std::string missing_layers;
     std::uint64_t directory_version = 0;
     std::uint64_t revision = 0;
-    std::uint64_t limits_version = 0;
+    std::uint64_t gate_version = 0;
     /// Earliest end of a suspicion, after which an endpoint is usable again.
     TimePoint valid_until{};
   };
@@ -262,7 +275,7 @@
   std::list<ActiveAttempt> attempts_;
   /// When requests last found no other chain, by service.
   std::map<std::string, TimePoint> awaited_at_;
-  EndpointLimits limits_;
+  EndpointGate gate_{directory_};
   PeerTable peers_;
   IsolationDetector isolation_;
   std::uint32_t daemon_count_;
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -72,8 +73,10 @@
   bool is_trial = false;
   /// Why the request was not sent, or not sent again.
   std::string_view last_denial;
-  /// Time after which the limits of endpoints may allow the request.
+  /// Time after which the limits and pauses of endpoints may allow the request.
   std::chrono::milliseconds allowed_after{0};
+  /// Shortest time after which a daemon that refused the request may take it.
+  std::optional<std::chrono::milliseconds> peer_retry_after;
   /// What was last logged of an attempt that was silent.
   std::string_view silence_outcome;
   std::set<std::string> tried_endpoints;
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/error.hpp>
@@ -65,8 +66,12 @@
                                       Refusal refusal) {
     LogRefusal(context, refusal);
     RecordOutcome(context, ToString(refusal));
-    HttpResponse response = Codec::EncodeRefusal(
-        refusal, relay::DrawRetryAfter(random_, context.allowed_after));
+    // That of another daemon is spread already.
+    const auto retry_after =
+        refusal == Refusal::kNoEndpoint && context.peer_retry_after
+            ? *context.peer_retry_after
+            : relay::DrawRetryAfter(random_, context.allowed_after);
+    HttpResponse response = Codec::EncodeRefusal(refusal, retry_after);
     if (context.is_from_peer && IsNotRun(refusal)) {
       Codec::MarkNotRun(response);
     }
@@ -109,6 +114,14 @@
     if (IsQuarantined(context)) {
       return QuarantineRefusal(context);
     }
+    if (context.last_denial != kEndpointLimit &&
+        context.last_denial != kEndpointBackoff &&
+        NextOpening(context).are_all_closed) {
+      OnClosed(context);
+    }
+    if (context.last_denial == kEndpointBackoff) {
+      return Refusal::kEndpointBackoff;
+    }
     return context.last_denial == kEndpointLimit ? Refusal::kEndpointLimit
                                                  : Refusal::kNoEndpoint;
   }
@@ -116,6 +129,7 @@
   /// Whether the request may be sent once more, apart from the retry budget.
   bool MayBeSent(RequestContext& context) const {
     context.last_denial = "";
+    context.allowed_after = std::chrono::milliseconds(0);
     if (context.sends >= relay::kMaxSends) {
       context.last_denial = "max_sends";
     } else if (context.TimeLeft(clock_.Now()) < relay::kMinTimeLeft) {
@@ -128,12 +142,38 @@
     return context.last_denial.empty();
   }
 
-  /// Records that only the limit of an endpoint, or of several ones, does not
-  /// allow the request.
-  void OnLimited(RequestContext& context, const std::string& endpoint) {
-    context.last_denial = kEndpointLimit;
-    context.allowed_after = std::chrono::ceil<std::chrono::milliseconds>(
-        state_.limits().TimeUntilAvailable(endpoint, clock_.Now()));
+  /// When the first closed endpoint of the request's service opens.
+  [[nodiscard]] GateOpening NextOpening(const RequestContext& context) const {
+    const TimePoint now = clock_.Now();
+    return state_.gate().NextOpening(
+        state_.DestinationsOf(*context.service, now), now);
+  }
+
+  /// Records that only limits or pauses of endpoints do not allow the request.
+  void OnClosed(RequestContext& context) const {
+    const GateOpening next = NextOpening(context);
+    context.last_denial = next.is_backoff ? kEndpointBackoff : kEndpointLimit;
+    context.allowed_after =
+        std::chrono::ceil<std::chrono::milliseconds>(next.time_left);
+  }
+
+  /// Whether a request that was chosen for an endpoint may be sent when its
+  /// connection is established.
+  [[nodiscard]] std::function<bool()> MaySendTo(std::string endpoint) const {
+    return [this, endpoint = std::move(endpoint)] {
+      return state_.gate().MaySend(endpoint, SendKind::kChosenRequest,
+                                   clock_.Now());
+    };
+  }
+
+  /// Records when another daemon that refused a request may take it.
+  static void NoteRetryAfterOfPeer(RequestContext& context,
+                                   const ResponseHead& head) {
+    if (head.retry_after) {
+      context.peer_retry_after =
+          std::min(context.peer_retry_after.value_or(*head.retry_after),
+                   *head.retry_after);
+    }
   }
 
   /// Whether this daemon's own endpoints may be tried.
@@ -234,6 +274,11 @@
   void RecordFailedSend(RequestContext& context,
                         AttemptStep step,
                         const std::string& endpoint) {
+    if (step == AttemptStep::kWithheld) {
+      --context.sends;
+      LogWithheld(context, endpoint);
+      return;
+    }
     if (step == AttemptStep::kNotSent) {
       --context.sends;
       ++context.connect_failures;
@@ -289,6 +334,14 @@
         .With("after_ms", Elapsed(context));
   }
 
+  void LogWithheld(const RequestContext& context, const std::string& endpoint) {
+    state_.metrics().OnWithheld("request");
+    LogEvent(Severity::kInfo, "send_withheld")
+        .With("request", context.request.id)
+        .With("endpoint", endpoint)
+        .With("sends", context.sends);
+  }
+
   void LogNotRun(const RequestContext& context,
                  const std::string& endpoint,
                  const ResponseHead& head) const {
@@ -296,6 +349,8 @@
         .With("request", context.request.id)
         .With("endpoint", endpoint)
         .With("status", head.status)
+        .With("retry_after_ms",
+              head.retry_after.value_or(std::chrono::milliseconds(0)))
         .With("sends", context.sends);
   }
 
@@ -307,6 +362,7 @@
 
  private:
   static constexpr std::string_view kEndpointLimit = "endpoint_limit";
+  static constexpr std::string_view kEndpointBackoff = "endpoint_backoff";
 
   std::minstd_rand random_;
 };
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -27,6 +27,9 @@
   std::string address;
   /// The request, encoded for the destination.
   HttpRequest request;
+  /// Called when the connection is established: whether the request may still
+  /// be sent.
+  std::function<bool()> may_send{};
   /// Called when the connection was established and the request sent.
   std::function<void()> on_sent{};
   TimePoint deadline{};
@@ -56,9 +59,9 @@
   boost::asio::awaitable<AttemptStep> Next() {
     if (!is_started_) {
       is_started_ = true;
-      const auto failure =
-          co_await call_.Send(options_.address, options_.request,
-                              options_.connect_timeout, TimeLeft());
+      const auto failure = co_await call_.Send(
+          options_.address, options_.request, options_.connect_timeout,
+          TimeLeft(), options_.may_send);
       if (call_.was_sent() && options_.on_sent) {
         options_.on_sent();
       }
@@ -143,7 +146,7 @@
   /// Precondition: `has_begun()`.
   [[nodiscard]] const ResponseHead& head() const noexcept { return head_; }
   [[nodiscard]] bool was_sent() const noexcept { return call_.was_sent(); }
-  /// The reason of the last step `kNotSent` or `kLost`.
+  /// The reason of the last step `kNotSent`, `kWithheld` or `kLost`.
   [[nodiscard]] const Failure& failure() const noexcept { return failure_; }
   [[nodiscard]] HttpCall& call() noexcept { return call_; }
 
@@ -260,6 +263,9 @@
       return OnInterrupted();
     }
     failure_ = failure;
+    if (call_.was_withheld()) {
+      return AttemptStep::kWithheld;
+    }
     return call_.was_sent() ? AttemptStep::kLost : AttemptStep::kNotSent;
   }
 
--- a/include/sycamoreford/relay/endpoint_limits.h
+++ b/include/sycamoreford/relay/endpoint_limits.h
@@ -67,6 +67,8 @@
 
   /// The endpoints to which no request may be sent now.
   [[nodiscard]] std::set<std::string> Exhausted(TimePoint now);
+  /// Whether a request may be sent now.
+  [[nodiscard]] bool MaySend(const std::string& endpoint, TimePoint now);
   /// Whether a request that cannot wait, such as an inspection, may be sent.
   [[nodiscard]] bool MayOverdraw(const std::string& endpoint, TimePoint now);
   /// Time until a request may be sent to an endpoint; 0 if it has no limit.
--- a/include/sycamoreford/relay/relay_metrics.h
+++ b/include/sycamoreford/relay/relay_metrics.h
@@ -60,6 +60,12 @@
   /// \param source name of a `BackoffSource`.
   void OnBackoff(std::string_view source) { ++backoffs_[std::string(source)]; }
 
+  /// Records that a request or an order was not sent after all, since the
+  /// endpoint had asked for a pause meanwhile.
+  ///
+  /// \param kind `request` or `order`.
+  void OnWithheld(std::string_view kind) { ++withheld_[std::string(kind)]; }
+
   /// All series in the Prometheus text format.
   [[nodiscard]] std::string ToPrometheus() const;
 
@@ -87,6 +93,8 @@
   std::map<std::string, std::uint64_t> leaving_;
   /// Pauses that endpoints asked for, by source.
   std::map<std::string, std::uint64_t> backoffs_;
+  /// What was not sent after all, by kind.
+  std::map<std::string, std::uint64_t> withheld_;
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>>
       customers_;
 };
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -126,6 +126,8 @@
   /// The limits that endpoints state allow no further request at present; the
   /// request has not run.
   kEndpointLimit,
+  /// All endpoints have asked for a pause; the request has not run.
+  kEndpointBackoff,
   /// Endpoints crash under a part of the prompt; the request has not run.
   kPromptQuarantined,
   /// Endpoints crash under the request as a whole; the request has not run.
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -34,6 +34,7 @@
   /// The other end, for failures.
   std::string address;
   bool was_sent = false;
+  bool was_withheld = false;
   bool is_reading = false;
   /// Whether a read is to be ended by `Interrupt`.
   bool is_interrupt_requested = false;
@@ -177,7 +178,8 @@
     const std::string& address,
     const HttpRequest& request,
     std::chrono::milliseconds connect_timeout,
-    std::chrono::milliseconds timeout) {
+    std::chrono::milliseconds timeout,
+    std::function<bool()> may_send) {
   beast::error_code error;
   auto token = asio::redirect_error(use_awaitable, error);
   beast::tcp_stream& stream = state_->stream;
@@ -194,6 +196,13 @@
   if (error) {
     co_return ConnectFailure(address);
   }
+  if (may_send && !may_send()) {
+    state_->was_withheld = true;
+    stream.close();
+    co_return Failure{.code = Errc::kOverloaded,
+                      .outcome = Outcome::kNotRun,
+                      .where = address};
+  }
   SetSocketOptions(stream.socket());
   const auto message = ToMessage(address, request);
   stream.expires_at(deadline);
@@ -249,6 +258,10 @@
   return state_->was_sent;
 }
 
+bool HttpCall::was_withheld() const noexcept {
+  return state_->was_withheld;
+}
+
 unsigned HttpCall::status() const noexcept {
   return state_->parser.get().result_int();
 }
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -72,7 +72,7 @@
       service_selector_(data_centre_),
       peers_(data_centre_),
       daemon_count_(kAssumedDaemonCount) {
-  limits_.SetDaemons(daemon_count_, interval_factor());
+  limits().SetDaemons(daemon_count_, interval_factor());
 }
 
 bool RelayState::Accept(std::shared_ptr<const Manifest> manifest) {
@@ -98,12 +98,12 @@
   ServiceChains& cached = entry->second;
   if (cached.directory_version == directory_.version() &&
       cached.revision == manifest_->revision() &&
-      cached.limits_version == limits_.version() && now < cached.valid_until) {
+      cached.gate_version == gate_.version() && now < cached.valid_until) {
     return cached.selector;
   }
   cached.directory_version = directory_.version();
   cached.revision = manifest_->revision();
-  cached.limits_version = limits_.version();
+  cached.gate_version = gate_.version();
   cached.valid_until = TimePoint::max();
   for (const auto& [id, endpoint] : directory_.endpoints()) {
     if (endpoint.suspected_until > now) {
@@ -122,7 +122,7 @@
                         Describe(MissingLayers(*service.engine, accelerators));
     }
     auto bypasses = BuildBypassChains(*service.engine, accelerators, built,
-                                      limits_.InForce());
+                                      gate_.Restricted(now));
     std::move(built.begin(), built.end(), std::back_inserter(chains));
     std::move(bypasses.begin(), bypasses.end(), std::back_inserter(chains));
   }
@@ -229,7 +229,7 @@
                                std::optional<double> per_second,
                                TimePoint sent_at,
                                TimePoint now) {
-  if (!limits_.OnResponse(id, per_second, sent_at, now)) {
+  if (!limits().OnResponse(id, per_second, sent_at, now)) {
     return;
   }
   LogLimit(id);
@@ -241,14 +241,18 @@
 void RelayState::OnLimitReport(const EndpointLimitReport& report,
                                const std::string& daemon,
                                TimePoint now) {
-  if (limits_.OnReport(report, daemon, now)) {
+  if (limits().OnReport(report, daemon, now)) {
     LogLimit(report.endpoint);
   }
 }
 
 void RelayState::OnRetryAfter(const EndpointRunId& run,
                               std::chrono::milliseconds time,
-                              BackoffSource source) {
+                              BackoffSource source,
+                              TimePoint now) {
+  if (!gate_.backoffs().Add(run, time, now)) {
+    return;
+  }
   metrics_.OnBackoff(ToString(source));
   LogEvent(Severity::kInfo, "endpoint_backoff")
       .With("endpoint", run.id)
@@ -257,14 +261,22 @@
       .With("source", ToString(source));
 }
 
+void RelayState::ExpireBackoffs(TimePoint now) {
+  for (const EndpointRunId& run : gate_.backoffs().Expire(now)) {
+    LogEvent(Severity::kInfo, "endpoint_backoff_ended")
+        .With("endpoint", run.id)
+        .With("started_at_ms", run.started_at_ms);
+  }
+}
+
 void RelayState::OnSent(const std::string& id, TimePoint now) {
-  if (limits_.OnSent(id, now) && notify_limits_) {
+  if (limits().OnSent(id, now) && notify_limits_) {
     notify_limits_();
   }
 }
 
 void RelayState::LogLimit(const std::string& id) const {
-  const auto per_second = limits_.Find(id);
+  const auto per_second = gate_.limits().Find(id);
   if (!per_second) {
     LogEvent(Severity::kInfo, "endpoint_limit_ended").With("endpoint", id);
     return;
@@ -295,15 +307,21 @@
   }
 }
 
-bool RelayState::HasEndpointsFor(const RelayService& service, TimePoint now) {
+std::vector<std::string> RelayState::DestinationsOf(const RelayService& service,
+                                                    TimePoint now) {
+  std::vector<std::string> ids;
   if (service.engine) {
-    return !ChainSelectorFor(service, now).chains().empty();
+    for (const ServingChain& chain : ChainSelectorFor(service, now).chains()) {
+      ids.push_back(chain.first_endpoint());
+    }
+    return ids;
+  }
+  for (const auto& [id, known] : directory_.endpoints()) {
+    if (known.record.service == service.name && known.IsUsable(now)) {
+      ids.push_back(id);
+    }
   }
-  return std::any_of(directory_.endpoints().begin(),
-                     directory_.endpoints().end(), [&](const auto& it) {
-                       return it.second.record.service == service.name &&
-                              it.second.IsUsable(now);
-                     });
+  return ids;
 }
 
 void RelayState::Inspect(const std::string& id) {
--- a/src/relay/endpoint_limits.cc
+++ b/src/relay/endpoint_limits.cc
@@ -100,6 +100,12 @@
   return exhausted;
 }
 
+bool EndpointLimits::MaySend(const std::string& endpoint, TimePoint now) {
+  const auto found = entries_.find(endpoint);
+  return found == entries_.end() || !found->second.is_in_force ||
+         found->second.limit.MaySend(now);
+}
+
 bool EndpointLimits::MayOverdraw(const std::string& endpoint, TimePoint now) {
   const auto found = entries_.find(endpoint);
   return found == entries_.end() || !found->second.is_in_force ||
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -78,6 +78,11 @@
     AppendSample(text, "sycamoreford_relay_endpoint_backoffs_total",
                  label("source", source), std::to_string(count));
   }
+  AppendType(text, "sycamoreford_relay_withheld_total", "counter");
+  for (const auto& [kind, count] : withheld_) {
+    AppendSample(text, "sycamoreford_relay_withheld_total", label("kind", kind),
+                 std::to_string(count));
+  }
   const auto times = [&](const std::string& name,
                          TimeHistogram ServiceSeries::*member) {
     AppendType(text, name, "histogram");
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -18,6 +18,8 @@
       return "no_endpoint";
     case Refusal::kEndpointLimit:
       return "endpoint_limit";
+    case Refusal::kEndpointBackoff:
+      return "endpoint_backoff";
     case Refusal::kPromptQuarantined:
       return "prompt_quarantined";
     case Refusal::kRequestQuarantined:
