Send nothing to plain endpoints that ask for a pause

What callers saw: requests that may run once were refused although two idle copies were there, and each of the others cost a retry, since an endpoint that turned all requests away within 2 ms was chosen again and again.

Cause: as for chains, the response was used for one request and forgotten; by response time, an endpoint that rejects at once looks fast.

EndpointForwarder asks EndpointGate when it chooses an endpoint, for first sends, retries and further attempts, and again when a connection is established. A withheld send costs the request no try and the endpoint no failure.

With two of three copies in a pause, a request that finds both out is refused, as a route allows two sends: the bound is one such request for each relay and pause.

--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -30,11 +30,14 @@
   std::string address;
   /// The request, encoded for this endpoint.
   HttpRequest request;
+  /// Called when the connection is established: whether the request may still
+  /// be sent.
+  std::function<bool()> may_send{};
   /// Called when the connection was established and the request sent.
-  std::function<void()> on_sent;
+  std::function<void()> on_sent{};
   /// Called when the head of the response has arrived, which may be long before
   /// the attempt ends.
-  std::function<void(const ResponseHead&)> on_head;
+  std::function<void(const ResponseHead&)> on_head{};
   TimePoint deadline{};
   std::chrono::milliseconds connect_timeout{0};
   std::size_t max_response_bytes = 0;
@@ -69,11 +72,12 @@
   /// Sends the request and receives the response.
   ///
   /// \returns `kResponse` for a complete and trusted response, or `kNotRun`,
-  ///     `kNotSent` or `kLost`.
+  ///     `kNotSent`, `kWithheld` or `kLost`.
   /// Precondition: called once.
   boost::asio::awaitable<AttemptStep> Run() {
     auto failure = co_await call_.Send(options_.address, options_.request,
-                                       options_.connect_timeout, TimeLeft());
+                                       options_.connect_timeout, TimeLeft(),
+                                       options_.may_send);
     if (call_.was_sent() && options_.on_sent) {
       options_.on_sent();
     }
@@ -153,7 +157,7 @@
   [[nodiscard]] bool has_begun() const noexcept { return has_begun_; }
   /// Precondition: `has_begun()`.
   [[nodiscard]] const ResponseHead& head() const noexcept { return head_; }
-  /// The reason of `kNotSent` or `kLost`.
+  /// The reason of `kNotSent`, `kWithheld` or `kLost`.
   [[nodiscard]] const Failure& failure() const noexcept { return failure_; }
 
  private:
@@ -164,8 +168,12 @@
   }
 
   AttemptStep Fail(Failure failure) {
-    Report(false);
     failure_ = std::move(failure);
+    if (call_.was_withheld()) {
+      Leave();
+      return AttemptStep::kWithheld;
+    }
+    Report(false);
     return call_.was_sent() ? AttemptStep::kLost : AttemptStep::kNotSent;
   }
 
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -78,6 +78,8 @@
   using Processor::MarkLeaving;
   using Processor::MayBeSent;
   using Processor::MayConnect;
+  using Processor::MaySendTo;
+  using Processor::NoteRetryAfterOfPeer;
   using Processor::OnClosed;
   using Processor::OnSentFor;
   using Processor::RecordFailedForward;
@@ -156,14 +158,9 @@
     options->deadline = context.deadline;
     options->connect_timeout = relay::kConnectTimeout;
     options->max_response_bytes = relay::kMaxResponseBytes;
-    options->on_head =
-        [this, is_forwarded = options->is_forwarded](const ResponseHead& head) {
-          if (head.leaving_run) {
-            state_.OnLeaving(*head.leaving_run,
-                             is_forwarded ? LeavingSource::kForwardedResponse
-                                          : LeavingSource::kResponse);
-          }
-        };
+    options->on_head = [this, run = options->run](const ResponseHead& head) {
+      OnHead(run, head);
+    };
     context.tried_endpoints.insert(options->endpoint);
     auto attempt = std::make_shared<ToEndpoint>(
         state_.service_selector(), clock_, executor, std::move(*options));
@@ -173,6 +170,22 @@
     pending.attempts.push_back({std::move(attempt), std::move(task)});
   }
 
+  /// Called when the head of a response has arrived.
+  ///
+  /// \param run empty if it came through another daemon.
+  void OnHead(const std::optional<EndpointRunId>& run,
+              const ResponseHead& head) const {
+    if (head.leaving_run) {
+      state_.OnLeaving(
+          *head.leaving_run,
+          run ? LeavingSource::kResponse : LeavingSource::kForwardedResponse);
+    }
+    if (run && head.retry_after) {
+      state_.OnRetryAfter(*run, *head.retry_after, BackoffSource::kRequest,
+                          clock_.Now());
+    }
+  }
+
   /// Whether this daemon has no endpoint that it can connect to.
   [[nodiscard]] bool LacksEndpoints(const RequestContext& context) const {
     return context.connect_failures >= relay::kMaxConnectFailures ||
@@ -189,7 +202,7 @@
                                             context.service->name, now,
                                             excluded, !context.MayRunAgain());
     };
-    auto excluded = state_.limits().Exhausted(now);
+    auto excluded = state_.gate().Closed(now);
     excluded.insert(context.tried_endpoints.begin(),
                     context.tried_endpoints.end());
     const KnownEndpoint* endpoint =
@@ -214,6 +227,7 @@
                                   .run = RunOf(record),
                                   .address = record.address,
                                   .request = Codec::Encode(request, forward),
+                                  .may_send = MaySendTo(record.id),
                                   .on_sent = OnSentFor(context)};
   }
 
@@ -315,6 +329,7 @@
     RecordFailedForward(context, step, attempt.endpoint());
     state_.peers().OnRefused(attempt.endpoint(), clock_.Now());
     if (step == AttemptStep::kNotRun) {
+      NoteRetryAfterOfPeer(context, attempt.head());
       LogNotRun(context, attempt.endpoint(), attempt.head());
     } else if (step != AttemptStep::kNotSent) {
       LogResponseLost(context, attempt.endpoint(), attempt.failure(),
@@ -330,7 +345,9 @@
       return;
     }
     RecordFailedSend(context, step, attempt.endpoint());
-    if (step == AttemptStep::kNotSent) {
+    if (step == AttemptStep::kWithheld) {
+      context.tried_endpoints.erase(attempt.endpoint());
+    } else if (step == AttemptStep::kNotSent) {
       context.tried_endpoints.erase(attempt.endpoint());
       state_.OnUnreachable(attempt.endpoint(), clock_.Now());
       state_.OnEndpointSuspected(attempt.endpoint(), "no_connection",
--- a/tests/withheld_send_test.cc
+++ b/tests/withheld_send_test.cc
@@ -13,6 +13,7 @@
 #include "http_relay_codec.h"
 #include "support/sample_configuration.h"
 #include "sycamoreford/adapters/chain_attempt.h"
+#include "sycamoreford/adapters/endpoint_attempt.h"
 
 namespace sycamoreford {
 namespace {
@@ -86,5 +87,28 @@
   attempt.reset();
 }
 
+TEST_CASE("a request that waited for its connection is not sent in a pause") {
+  Fixture fixture;
+  EndpointAttemptOptions options;
+  options.request_id = "r1";
+  options.endpoint = "e1";
+  options.address = fixture.endpoint.address();
+  options.may_send = fixture.MaySend();
+  options.deadline = fixture.clock.Now() + seconds(5);
+  options.connect_timeout = milliseconds(400);
+  EndpointAttempt<Codec, SteadyClock> attempt(
+      fixture.state.service_selector(), fixture.clock,
+      fixture.context.get_executor(), std::move(options));
+  std::optional<AttemptStep> step;
+  asio::co_spawn(
+      fixture.context,
+      [&]() -> asio::awaitable<void> { step = co_await attempt.Run(); },
+      asio::detached);
+  fixture.AskForPause();
+  fixture.context.run_for(milliseconds(200));
+  REQUIRE(step == AttemptStep::kWithheld);
+  REQUIRE(fixture.endpoint.requests().empty());
+}
+
 }  // namespace
 }  // namespace sycamoreford
