Tell callers of daemons without links when a pause ends

A daemon that is cut off sends its requests through another one. When all endpoints there are in a pause, it asked at most once each 200 ms, and refused the requests between with a Retry-After of 0.3 to 1.5 s: callers came back too early, again and again.

A refusal between daemons now says that the reason is a pause (Sycamoreford-Backoff), and the daemon without links keeps the first end by service. The header is on refusals only, which no daemon passes on.

The endpoints of these tests now report their start, as real ones do: without it, inspections took them for restarted.

--- a/include/sycamoreford/adapters/chain_failover.h
+++ b/include/sycamoreford/adapters/chain_failover.h
@@ -118,7 +118,7 @@
     RecordFailure(context, step, attempt);
     if (step == AttemptStep::kNotRun) {
       if (attempt.is_forwarded()) {
-        NoteRetryAfterOfPeer(context, attempt.head());
+        OnRefusedByPeer(context, attempt.head());
       }
       const KnownEndpoint* faulty_stage =
           state_.directory().FindByAddress(attempt.head().faulty_stage_address);
@@ -143,7 +143,7 @@
   using Processor::kNoChain;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
-  using Processor::NoteRetryAfterOfPeer;
+  using Processor::OnRefusedByPeer;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
 
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -79,8 +79,8 @@
   using Processor::MayBeSent;
   using Processor::MayConnect;
   using Processor::MaySendTo;
-  using Processor::NoteRetryAfterOfPeer;
   using Processor::OnClosed;
+  using Processor::OnRefusedByPeer;
   using Processor::OnSentFor;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
@@ -329,7 +329,7 @@
     RecordFailedForward(context, step, attempt.endpoint());
     state_.peers().OnRefused(attempt.endpoint(), clock_.Now());
     if (step == AttemptStep::kNotRun) {
-      NoteRetryAfterOfPeer(context, attempt.head());
+      OnRefusedByPeer(context, attempt.head());
       LogNotRun(context, attempt.endpoint(), attempt.head());
     } else if (step != AttemptStep::kNotSent) {
       LogResponseLost(context, attempt.endpoint(), attempt.failure(),
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -75,8 +74,6 @@
   std::string_view last_denial;
   /// Time after which the limits and pauses of endpoints may allow the request.
   std::chrono::milliseconds allowed_after{0};
-  /// Shortest time after which a daemon that refused the request may take it.
-  std::optional<std::chrono::milliseconds> peer_retry_after;
   /// What was last logged of an attempt that was silent.
   std::string_view silence_outcome;
   std::set<std::string> tried_endpoints;
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -66,14 +66,10 @@
                                       Refusal refusal) {
     LogRefusal(context, refusal);
     RecordOutcome(context, ToString(refusal));
-    // That of another daemon is spread already.
-    const auto retry_after =
-        refusal == Refusal::kNoEndpoint && context.peer_retry_after
-            ? *context.peer_retry_after
-            : relay::DrawRetryAfter(random_, context.allowed_after);
-    HttpResponse response = Codec::EncodeRefusal(refusal, retry_after);
+    HttpResponse response = Codec::EncodeRefusal(
+        refusal, relay::DrawRetryAfter(random_, context.allowed_after));
     if (context.is_from_peer && IsNotRun(refusal)) {
-      Codec::MarkNotRun(response);
+      Codec::MarkNotRun(response, refusal);
     }
     co_await exchange.Respond(std::move(response));
   }
@@ -122,8 +118,13 @@
     if (context.last_denial == kEndpointBackoff) {
       return Refusal::kEndpointBackoff;
     }
-    return context.last_denial == kEndpointLimit ? Refusal::kEndpointLimit
-                                                 : Refusal::kNoEndpoint;
+    if (context.last_denial == kEndpointLimit) {
+      return Refusal::kEndpointLimit;
+    }
+    // Of requests that went through another daemon.
+    context.allowed_after = std::chrono::ceil<std::chrono::milliseconds>(
+        state_.peers().BackoffLeft(context.service->name, clock_.Now()));
+    return Refusal::kNoEndpoint;
   }
 
   /// Whether the request may be sent once more, apart from the retry budget.
@@ -166,13 +167,12 @@
     };
   }
 
-  /// Records when another daemon that refused a request may take it.
-  static void NoteRetryAfterOfPeer(RequestContext& context,
-                                   const ResponseHead& head) {
-    if (head.retry_after) {
-      context.peer_retry_after =
-          std::min(context.peer_retry_after.value_or(*head.retry_after),
-                   *head.retry_after);
+  /// Called when another daemon has refused a request.
+  void OnRefusedByPeer(const RequestContext& context,
+                       const ResponseHead& head) const {
+    if (head.is_backoff && head.retry_after) {
+      state_.peers().OnBackoff(context.service->name, *head.retry_after,
+                               clock_.Now());
     }
   }
 
--- a/include/sycamoreford/fleet/peer_table.h
+++ b/include/sycamoreford/fleet/peer_table.h
@@ -62,6 +62,16 @@
   /// chosen for a short time.
   void OnRefused(const std::string& address, TimePoint now);
 
+  /// Called when a daemon refused a request because all of its endpoints for
+  /// the service are in a pause.
+  ///
+  /// \param time time after which it may take requests for the service.
+  void OnBackoff(const std::string& service, Duration time, TimePoint now);
+  /// Time until a daemon that refused requests in that way may take some; 0 if
+  /// none has.
+  [[nodiscard]] Duration BackoffLeft(const std::string& service,
+                                     TimePoint now) const;
+
  private:
   /// How long a status is used, with few daemons; long enough for two messages
   /// to be lost.
@@ -88,6 +98,8 @@
   std::string data_centre_;
   std::uint32_t interval_factor_ = 1;
   std::map<std::string, Peer> peers_;
+  /// First end of the pauses that other daemons named, by service.
+  std::map<std::string, TimePoint> backoff_until_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/relay_codec.h
+++ b/include/sycamoreford/relay/relay_codec.h
@@ -33,8 +33,8 @@
   // kept, including its API key.
   { T::EncodeForPeer(request, forward) } -> std::same_as<HttpRequest>;
   { T::DecodeFromPeer(request) } -> std::same_as<std::optional<PeerForward>>;
-  // Tells the daemon that forwarded a request that it has not run.
-  { T::MarkNotRun(response) } -> std::same_as<void>;
+  // Tells the daemon that forwarded a request that it has not run, and why.
+  { T::MarkNotRun(response, Refusal::kNoEndpoint) } -> std::same_as<void>;
   // Tells the daemon that forwarded a request which endpoint is leaving.
   { T::MarkLeaving(response, run) } -> std::same_as<void>;
 };
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -72,6 +72,9 @@
   unsigned status = 0;
   /// Whether the endpoint states that it did not run the request.
   bool is_not_run = false;
+  /// Whether another daemon states that it did not run the request because all
+  /// of its endpoints for it are in a pause.
+  bool is_backoff = false;
   /// Whether the response carries the endpoint's seal, which shows that the
   /// endpoint itself produced it.
   bool is_sealed = false;
--- a/src/fleet/peer_table.cc
+++ b/src/fleet/peer_table.cc
@@ -1,5 +1,6 @@
 #include "sycamoreford/fleet/peer_table.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace sycamoreford {
@@ -67,6 +68,21 @@
   }
 }
 
+void PeerTable::OnBackoff(const std::string& service,
+                          Duration time,
+                          TimePoint now) {
+  TimePoint& until = backoff_until_[service];
+  until = until > now ? std::min(until, now + time) : now + time;
+}
+
+Duration PeerTable::BackoffLeft(const std::string& service,
+                                TimePoint now) const {
+  const auto found = backoff_until_.find(service);
+  return found == backoff_until_.end()
+             ? Duration::zero()
+             : std::max<Duration>(found->second - now, Duration::zero());
+}
+
 void PeerTable::Expire(TimePoint now) {
   std::erase_if(peers_, [&](const auto& it) {
     return it.second.own_requests == 0 && !IsHeard(it.first, now);
--- a/tests/fakes/overloaded_endpoint.h
+++ b/tests/fakes/overloaded_endpoint.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,7 +35,8 @@
       doors_.push_back(std::make_unique<Door>(context));
       Door& door = *doors_.back();
       door.endpoint.SetReportResponder([this, &door] {
-        return Respond(door, R"({"Layers":{"From":0,"To":80}})");
+        return Respond(door, R"({"born":)" + std::to_string(started_at_ms) +
+                                 R"(,"Layers":{"From":0,"To":80}})");
       });
       door.endpoint.SetResponder([this, &door](const HttpRequest& request) {
         return Respond(door, request);
@@ -42,6 +44,7 @@
     }
   }
 
+  std::uint64_t started_at_ms = 1;
   bool is_overloaded = false;
   /// Value of Retry-After, and the time that it means.
   std::string retry_after = "2";
--- a/tests/support/backoff_deployment.h
+++ b/tests/support/backoff_deployment.h
@@ -80,6 +80,7 @@
 
   /// Lists a run of an endpoint at all relays.
   void Announce(std::size_t index, std::uint64_t started_at_ms) {
+    endpoints[index]->started_at_ms = started_at_ms;
     for (const std::string service : {"model", "plain"}) {
       EndpointRecord record;
       record.id = service + std::to_string(index);
