Let daemons of the version before remove a header that they don't know

While VMs are replaced, a daemon of the version before that forwards a request through a new one passed Sycamoreford-Leaving on to its caller. The response now declares that header as one of the connection, which any version removes.

peer_format_test pins the formats between daemons by examples recorded from: datagrams, the state that is handed over, forwarded requests and their responses, and the lease. mixed_versions_test runs daemons of another version beside new ones; by hand, since it needs their program.

--- a/src/impl/beast_exchange.h
+++ b/src/impl/beast_exchange.h
@@ -125,11 +125,12 @@
       message.set(boost::beast::http::field::content_type,
                   response.content_type);
     }
+    keep_alive_ = keep_alive_ && !keep_alive_disabled_;
+    // Replaces all fields `Connection`.
+    message.keep_alive(keep_alive_);
     for (const auto& [name, value] : response.fields) {
       message.insert(name, value);
     }
-    keep_alive_ = keep_alive_ && !keep_alive_disabled_;
-    message.keep_alive(keep_alive_);
   }
 
   boost::beast::tcp_stream& stream_;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -34,7 +34,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, file, STDOUT_FILENO);
   posix_spawn_file_actions_adddup2(&actions, file, STDERR_FILENO);
-  std::string path = BuildDirectory() + "/" + program;
+  std::string path =
+      program.starts_with('/') ? program : BuildDirectory() + "/" + program;
   std::vector<char*> argv{path.data()};
   for (std::string& argument : arguments) {
     argv.push_back(argument.data());
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -12,7 +12,8 @@
 /// destructor kills it.
 class Process {
  public:
-  /// Starts `program`, a path below the build directory, with its output in a
+  /// Starts `program`, an absolute path or one below the build
+  /// directory, with its output in a
   /// temporary file.
   Process(const std::string& program, std::vector<std::string> arguments);
   ~Process();
