Keep the port of a cut link while its listener is replaced

The stand-in closed its listener and bound the port anew; in between, another process could get the port for a connection of its own. It now binds the next socket before it closes the current one. No check is changed. Read in the code; the race was not provoked.

--- a/tests/fakes/cuttable_link.h
+++ b/tests/fakes/cuttable_link.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -97,12 +98,17 @@
   /// Ends the current listener and keeps its port, so that connections are
   /// refused until `Listen`.
   void Bind(const Endpoint& address) {
+    using ReusePort =
+        boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    auto next = std::make_shared<Acceptor>(context_, address.protocol());
+    next->set_option(boost::asio::socket_base::reuse_address(true));
+    next->set_option(ReusePort(true));
+    // Before the current one is closed, or other processes may get the port.
+    next->bind(address);
     if (acceptor_) {
       acceptor_->close();
     }
-    acceptor_ = std::make_shared<Acceptor>(context_, address.protocol());
-    acceptor_->set_option(boost::asio::socket_base::reuse_address(true));
-    acceptor_->bind(address);
+    acceptor_ = std::move(next);
   }
 
   void Listen() {
