Show requests on more endpoints than allowed, and on leaving ones, over several daemons

New lines in the log: received_from_peer names the endpoints that the other daemon has counted, and leaving_not_noted a response whose word is dropped since its sender's run is not known.

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -13,6 +13,7 @@
 #include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/relay_state.h"
 #include "sycamoreford/adapters/stream_attempt.h"
+#include "sycamoreford/core/log.h"
 
 namespace sycamoreford {
 
@@ -119,6 +120,11 @@
     }
     if (head().leaving_run) {
       state_.OnLeaving(*head().leaving_run, LeavingSource::kResponse);
+    } else if (head().is_leaving) {
+      LogEvent(Severity::kInfo, "leaving_not_noted")
+          .With("endpoint", destination())
+          .With("request", request_id())
+          .With("status", head().status);
     }
     // Whatever else is wrong with the response, its sender asks for a pause.
     if (head().retry_after && sender()) {
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -79,6 +79,7 @@
       co_return;
     }
     state_.metrics().OnReceivedFromPeer(context.service->name);
+    LogReceivedFromPeer(context, *forward);
     ++peer_requests_;
     const std::shared_ptr<void> decrement_on_exit(
         nullptr, [this](void*) { --peer_requests_; });
@@ -108,6 +109,18 @@
     }
   }
 
+  static void LogReceivedFromPeer(const RequestContext& context,
+                                  const PeerForward& forward) {
+    std::string tried;
+    for (const std::string& endpoint : forward.tried_endpoints) {
+      tried += (tried.empty() ? "" : ",") + endpoint;
+    }
+    LogEvent(Severity::kInfo, "received_from_peer")
+        .With("request", context.request.id)
+        .With("sends", forward.sends)
+        .With("tried", tried);
+  }
+
   /// As `Admit`; also refuses what this daemon cannot take at present, or would
   /// decide by an older configuration than the other one.
   std::optional<Refusal> AdmitFromPeer(const HttpRequest& request,
