Let the daemon with the caller bound the endpoints of a request over all daemons

Cause: the bound was the size of a set that each daemon kept for itself. The set went along with a forwarded request and nothing came back: a forward that failed counted as one endpoint, though the other daemon may have used as many as the route allows, and a second daemon that got the request meanwhile was told of none. The class is a fact that does not come back over a hop.

The change: TriedEndpoints. The daemon with the caller decides alone. It lets another daemon choose one endpoint at a time, reserves a place for it, and gets its id with the response (Sycamoreford-Tried). A place whose endpoint was never named stays taken. A stream that has begun is not moved by the daemon that it was forwarded to: the head has named its endpoint. The daemon with the caller resumes it, and tries others when its events pause for a second. A daemon that has named an endpoint is not at fault and may be asked again.

relay_forward_test: three checks recorded the set without placeholders and the address of a daemon in it. They compare the whole header with what is sent now.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -84,7 +84,7 @@
           const std::string& first = chain.first_endpoint();
           return !closed.contains(first) &&
                  (!MayOnlyBeRetried(context) ||
-                  context.tried_endpoints.contains(first));
+                  context.tried_endpoints.all().contains(first));
         });
     return has_open_chain &&
            PickChain(context, closed, reserved_share, now) == nullptr;
@@ -119,7 +119,7 @@
 
   /// Whether the request may not be sent to further endpoints.
   [[nodiscard]] static bool MayOnlyBeRetried(const RequestContext& context) {
-    return context.tried_endpoints.size() >= context.route->max_attempts;
+    return !context.tried_endpoints.AllowsFurther();
   }
 
   [[nodiscard]] static double ExpectedTokens(const RequestContext& context) {
@@ -139,8 +139,8 @@
       TimePoint now) const {
     return state_.ChainSelectorFor(*context.service, now)
         .Pick(ExpectedTokens(context), state_.daemon_count(),
-              context.tried_endpoints, MayOnlyBeRetried(context), now, excluded,
-              reserved_share);
+              context.tried_endpoints.all(), MayOnlyBeRetried(context), now,
+              excluded, reserved_share);
   }
 
   [[nodiscard]] ForwardOptions OptionsFor(const RequestContext& context,
@@ -174,13 +174,18 @@
       const HttpRequest& request,
       RequestContext& context,
       EventSplitter position) {
+    if (MayOnlyBeRetried(context) && !context.tried_endpoints.HasNamed()) {
+      context.last_denial = "max_attempts";
+      return nullptr;
+    }
     auto peer = AcquirePeer(context);
     if (!peer) {
       return nullptr;
     }
     position.Restart();
+    const auto place = context.tried_endpoints.Reserve();
     HttpRequest encoded = EncodeForPeer(
-        request, context,
+        request, context, place,
         position.event_count() > 0 ? position.last_id() : std::string());
     return std::make_shared<PeerAttempt<Codec, TheClock>>(
         state_, clock_, executor,
@@ -190,7 +195,8 @@
                              .deadline = context.deadline,
                              .connect_timeout = relay::kConnectTimeout,
                              .streams = context.route->streams,
-                             .position = std::move(position)},
+                             .position = std::move(position),
+                             .place = place},
         relay::kMaxPeerSilence);
   }
 
--- a/include/sycamoreford/adapters/chain_failover.h
+++ b/include/sycamoreford/adapters/chain_failover.h
@@ -82,11 +82,7 @@
       attempt->ClearInterrupt();
       if (IsGoingOn(*attempt, step)) {
         attempt->ResumeLoad();
-        if (other->was_sent()) {
-          context.tried_endpoints.insert(other->destination());
-        } else {
-          --context.sends;
-        }
+        Drop(context, *other);
         LogSilence(context, *attempt, "went_on");
         co_return step;
       }
@@ -103,7 +99,7 @@
         other->ClearInterrupt();
       } else if (IsGoingOn(*other, *task.result())) {
         LogSilence(context, *attempt, "replaced");
-        RecordFailedSend(context, AttemptStep::kLost, attempt->destination());
+        RecordFailure(context, AttemptStep::kLost, *attempt);
       } else {
         OnAttemptFailed(context, *other, *task.result());
         continue;
@@ -146,6 +142,7 @@
   using Processor::kNoChain;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
+  using Processor::NoteForwardedHead;
   using Processor::OnRefusedByPeer;
   using Processor::RecordFailedForward;
   using Processor::RecordFailedSend;
@@ -194,6 +191,17 @@
     return false;
   }
 
+  /// Records a successor that is no longer needed.
+  static void Drop(RequestContext& context, const Attempt& successor) {
+    NoteForwardedHead(context, successor);
+    if (!successor.was_sent()) {
+      --context.sends;
+      context.tried_endpoints.Resolve(successor.place(), {});
+    } else if (!successor.is_forwarded()) {
+      context.tried_endpoints.Add(successor.destination());
+    }
+  }
+
   /// Starts to send a request whose attempt is silent to another chain.
   ///
   /// \returns null if no chain can be tried.
@@ -202,7 +210,11 @@
       const HttpRequest& request,
       RequestContext& context,
       Attempt& attempt) {
-    context.tried_endpoints.insert(attempt.destination());
+    if (attempt.is_forwarded()) {
+      NoteForwardedHead(context, attempt);
+    } else {
+      context.tried_endpoints.Add(attempt.destination());
+    }
     // One of the two ends soon; only the successor counts as load until then.
     attempt.SuspendLoad();
     auto successor =
@@ -217,7 +229,7 @@
                      AttemptStep step,
                      const Attempt& attempt) {
     if (attempt.is_forwarded()) {
-      RecordFailedForward(context, step, attempt.destination());
+      RecordFailedForward(context, step, attempt, attempt.destination());
     } else {
       RecordFailedSend(context, step, attempt.destination());
     }
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -110,7 +110,7 @@
   using Failover::TryOthers;
   using Processor::FinalRefusal;
   using Processor::kNoRoom;
-  using Processor::MarkLeaving;
+  using Processor::MarkEndpoint;
   using Processor::RecordOutcome;
   using Processor::Refuse;
   using typename Failover::Attempt;
@@ -151,7 +151,7 @@
 
   /// Forwards the events of the last step.
   boost::asio::awaitable<void> DeliverEvents(HttpExchange& exchange,
-                                             const RequestContext& context,
+                                             RequestContext& context,
                                              Attempt& attempt,
                                              StreamProgress& progress) {
     const TimePoint now = clock_.Now();
@@ -168,20 +168,21 @@
 
   /// Sends the head of the response unless one was sent before.
   boost::asio::awaitable<void> BeginStream(HttpExchange& exchange,
-                                           const RequestContext& context,
+                                           RequestContext& context,
                                            Attempt& attempt,
                                            StreamProgress& progress) {
     if (!progress.has_begun) {
       progress.has_begun = true;
       HttpResponse response = Codec::EncodeResponse(attempt.call().status(),
                                                     attempt.call().fields());
-      MarkLeaving(context, attempt.head(), response);
+      MarkEndpoint(context, attempt.destination(), attempt.head(), response);
+      context.has_named_endpoint = context.is_from_peer;
       co_await exchange.BeginStream(std::move(response));
     }
   }
 
   boost::asio::awaitable<void> FinishStream(HttpExchange& exchange,
-                                            const RequestContext& context,
+                                            RequestContext& context,
                                             Attempt& attempt,
                                             StreamProgress& progress) {
     state_.directory().OnSuccess(attempt.destination());
@@ -198,7 +199,7 @@
   ///
   /// \returns whether the caller has received it.
   boost::asio::awaitable<bool> ForwardResponse(HttpExchange& exchange,
-                                               const RequestContext& context,
+                                               RequestContext& context,
                                                Attempt& attempt,
                                                const StreamProgress& progress) {
     const bool is_failure = attempt.head().IsServerError();
@@ -212,7 +213,7 @@
     }
     HttpResponse response =
         Codec::EncodeResponse(attempt.call().status(), attempt.call().fields());
-    MarkLeaving(context, attempt.head(), response);
+    MarkEndpoint(context, attempt.destination(), attempt.head(), response);
     response.body = std::move(*body);
     RecordOutcome(context, is_failure ? "endpoint_failed" : "answered");
     co_await exchange.Respond(std::move(response));
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -15,6 +15,7 @@
 #include "sycamoreford/relay/relay_codec.h"
 #include "sycamoreford/relay/relay_request.h"
 #include "sycamoreford/relay/service_selector.h"
+#include "sycamoreford/relay/tried_endpoints.h"
 
 namespace sycamoreford {
 
@@ -27,6 +28,8 @@
   std::optional<EndpointRunId> run{};
   /// Whether the request is sent through another daemon.
   bool is_forwarded = false;
+  /// Place of the endpoint that the other daemon chooses.
+  TriedEndpoints::Place place{};
   std::string address;
   /// The request, encoded for this endpoint.
   HttpRequest request;
@@ -149,6 +152,9 @@
   [[nodiscard]] bool is_forwarded() const noexcept {
     return options_.is_forwarded;
   }
+  [[nodiscard]] const TriedEndpoints::Place& place() const noexcept {
+    return options_.place;
+  }
   [[nodiscard]] TimePoint started_at() const noexcept { return started_at_; }
   [[nodiscard]] bool is_overdue() const noexcept { return is_overdue_; }
   /// Whether the connection was established.
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -75,7 +75,7 @@
   using Processor::FinalRefusal;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
-  using Processor::MarkLeaving;
+  using Processor::MarkEndpoint;
   using Processor::MayBeSent;
   using Processor::MayConnect;
   using Processor::MaySendTo;
@@ -93,8 +93,7 @@
   /// Whether the request may be sent to a further endpoint while others run it.
   [[nodiscard]] static bool MayTryFurtherEndpoint(
       const RequestContext& context) {
-    return context.MayRunAgain() &&
-           context.tried_endpoints.size() < context.route->max_attempts;
+    return context.MayRunAgain() && context.tried_endpoints.AllowsFurther();
   }
 
   /// Whether no attempt is expected to respond in time.
@@ -104,14 +103,21 @@
         [](const PendingAttempt& it) { return it.attempt->is_overdue(); });
   }
 
-  /// Time until the newest attempt is overdue; the time left if the request
-  /// must not run again, or if the attempt is overdue already.
+  /// Whether an attempt that is late is reported. A request that was forwarded
+  /// is sent to a further endpoint by the daemon that has forwarded it.
+  [[nodiscard]] static bool ReportsOverdue(const RequestContext& context) {
+    return MayTryFurtherEndpoint(context) ||
+           (context.is_from_peer && context.MayRunAgain());
+  }
+
+  /// Time until the newest attempt is overdue; the time left if that is not
+  /// reported, or if the attempt is overdue already.
   [[nodiscard]] std::chrono::milliseconds TimeUntilOverdue(
       const RequestContext& context,
       const PendingAttempts& pending) const {
     const TimePoint now = clock_.Now();
     const ToEndpoint& newest = *pending.attempts.back().attempt;
-    if (!MayTryFurtherEndpoint(context) || newest.is_overdue()) {
+    if (!ReportsOverdue(context) || newest.is_overdue()) {
       return std::max(context.TimeLeft(now), relay::kMinTimeLeft);
     }
     return std::max(
@@ -125,7 +131,7 @@
                      const PendingAttempts& pending) const {
     const TimePoint now = clock_.Now();
     for (const PendingAttempt& it : pending.attempts) {
-      if (MayTryFurtherEndpoint(context) &&
+      if (ReportsOverdue(context) &&
           now - it.attempt->started_at() >= context.route->target_latency) {
         it.attempt->OnOverdue();
       }
@@ -138,8 +144,7 @@
                    const HttpRequest& request,
                    RequestContext& context,
                    PendingAttempts& pending) {
-    if (!MayBeSent(context) ||
-        context.tried_endpoints.size() >= context.route->max_attempts) {
+    if (!MayBeSent(context) || !context.tried_endpoints.AllowsFurther()) {
       return;
     }
     const bool is_isolated = state_.is_isolated();
@@ -161,7 +166,9 @@
     options->on_head = [this, run = options->run](const ResponseHead& head) {
       OnHead(run, head);
     };
-    context.tried_endpoints.insert(options->endpoint);
+    if (!options->is_forwarded) {
+      context.tried_endpoints.Add(options->endpoint);
+    }
     auto attempt = std::make_shared<ToEndpoint>(
         state_.service_selector(), clock_, executor, std::move(*options));
     auto task = std::make_unique<BackgroundTask<AttemptStep>>(
@@ -203,13 +210,12 @@
                                             excluded, !context.MayRunAgain());
     };
     auto excluded = state_.gate().Closed(now);
-    excluded.insert(context.tried_endpoints.begin(),
-                    context.tried_endpoints.end());
+    const std::set<std::string>& tried = context.tried_endpoints.all();
+    excluded.insert(tried.begin(), tried.end());
     const KnownEndpoint* endpoint =
         MayConnect(context) ? pick(excluded) : nullptr;
     if (endpoint == nullptr) {
-      if (context.last_denial.empty() &&
-          pick(context.tried_endpoints) != nullptr) {
+      if (context.last_denial.empty() && pick(tried) != nullptr) {
         OnClosed(context);
       }
       return std::nullopt;
@@ -238,11 +244,13 @@
     if (!peer) {
       return std::nullopt;
     }
+    const auto place = context.tried_endpoints.Reserve();
     return EndpointAttemptOptions{
         .endpoint = *peer,
         .is_forwarded = true,
+        .place = place,
         .address = *peer,
-        .request = EncodeForPeer(request, context, "")};
+        .request = EncodeForPeer(request, context, place, "")};
   }
 
   static boost::asio::awaitable<AttemptStep> RunAttempt(
@@ -251,10 +259,9 @@
   }
 
   /// The whole response of an attempt, for the caller or another daemon.
-  static HttpResponse ResponseOf(const RequestContext& context,
-                                 ToEndpoint& attempt) {
+  static HttpResponse ResponseOf(RequestContext& context, ToEndpoint& attempt) {
     HttpResponse response = attempt.TakeResponse();
-    MarkLeaving(context, attempt.head(), response);
+    MarkEndpoint(context, attempt.endpoint(), attempt.head(), response);
     return response;
   }
 
@@ -292,7 +299,7 @@
         return ResponseOf(context, *attempt);
       }
       error_response = ResponseOf(context, *attempt);
-      RecordFailedSend(context, AttemptStep::kLost, attempt->endpoint());
+      RecordFailure(context, AttemptStep::kLost, *attempt);
     }
     return std::nullopt;
   }
@@ -321,13 +328,20 @@
         attempt.run() ? QuarantineGuard::RunOf(*attempt.run()) : EndpointRun()};
   }
 
+  void RecordFailure(RequestContext& context,
+                     AttemptStep step,
+                     const ToEndpoint& attempt) {
+    if (attempt.is_forwarded()) {
+      RecordFailedForward(context, step, attempt, attempt.endpoint());
+    } else {
+      RecordFailedSend(context, step, attempt.endpoint());
+    }
+  }
+
   /// Called when a request was sent through another daemon in vain.
   void OnForwardFailed(RequestContext& context,
                        const ToEndpoint& attempt,
                        AttemptStep step) {
-    context.tried_endpoints.erase(attempt.endpoint());
-    RecordFailedForward(context, step, attempt.endpoint());
-    state_.peers().OnRefused(attempt.endpoint(), clock_.Now());
     if (step == AttemptStep::kNotRun) {
       OnRefusedByPeer(context, attempt.head());
       LogNotRun(context, attempt.endpoint(), attempt.head());
@@ -340,15 +354,15 @@
   void OnAttemptFailed(RequestContext& context,
                        const ToEndpoint& attempt,
                        AttemptStep step) {
+    RecordFailure(context, step, attempt);
     if (attempt.is_forwarded()) {
       OnForwardFailed(context, attempt, step);
       return;
     }
-    RecordFailedSend(context, step, attempt.endpoint());
     if (step == AttemptStep::kWithheld) {
-      context.tried_endpoints.erase(attempt.endpoint());
+      context.tried_endpoints.Remove(attempt.endpoint());
     } else if (step == AttemptStep::kNotSent) {
-      context.tried_endpoints.erase(attempt.endpoint());
+      context.tried_endpoints.Remove(attempt.endpoint());
       state_.OnUnreachable(attempt.endpoint(), clock_.Now());
       state_.OnEndpointSuspected(attempt.endpoint(), "no_connection",
                                  clock_.Now());
--- a/include/sycamoreford/adapters/peer_attempt.h
+++ b/include/sycamoreford/adapters/peer_attempt.h
@@ -9,12 +9,15 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "sycamoreford/adapters/relay_state.h"
+#include "sycamoreford/adapters/request_context.h"
 #include "sycamoreford/adapters/stream_attempt.h"
 
 namespace sycamoreford {
 
 /// A send of a request through another daemon, which forwards it to a chain.
-/// Silence ends the attempt only if it lasts and that daemon is not heard of.
+/// That daemon does not move a stream that has begun, so pauses between events
+/// interrupt it here. Silence ends the attempt only if it lasts and that daemon
+/// is not heard of.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
@@ -45,12 +48,7 @@
   void SuspendLoad() override {}
   void ResumeLoad() override {}
 
-  void OnFailed(AttemptStep step) override {
-    if (step == AttemptStep::kNotRun || step == AttemptStep::kNotSent ||
-        step == AttemptStep::kLost) {
-      state_.peers().OnRefused(address_, Base::clock().Now());
-    }
-  }
+  void OnFailed(AttemptStep /*step*/) override {}
 
   [[nodiscard]] const std::string& destination() const noexcept override {
     return address_;
@@ -64,9 +62,12 @@
                        LeavingSource::kForwardedResponse);
     }
   }
-  void OnProgress(TimePoint /*now*/) override {
-    (*registration_)->next_interrupt_at.reset();
+  void OnProgress(TimePoint now) override {
+    (*registration_)->next_interrupt_at =
+        has_events_ ? std::optional(now + relay::kMaxForwardSilence)
+                    : std::nullopt;
   }
+  void OnEvents() override { has_events_ = true; }
   [[nodiscard]] bool HasDied(TimePoint now) const override {
     return Base::Silence(now) >= max_silence_ &&
            !state_.peers().IsHeard(address_, now);
@@ -85,6 +86,7 @@
   RelayState& state_;
   std::string address_;
   std::chrono::milliseconds max_silence_;
+  bool has_events_ = false;
   /// Empty when the attempt no longer counts as in flight.
   std::optional<std::list<ActiveAttempt>::iterator> registration_;
 };
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -54,6 +54,7 @@
       co_await Refuse(exchange, context, *refusal);
       co_return;
     }
+    context.tried_endpoints = TriedEndpoints(context.route->max_attempts);
     state_.RetryBudgetFor(context.service->name).OnRequest(context.arrived_at);
     co_await Serve(exchange, context);
   }
@@ -72,12 +73,13 @@
       co_return;
     }
     context.sends = forward->sends;
-    context.tried_endpoints = forward->tried_endpoints;
     const auto refusal = AdmitFromPeer(exchange.request(), *forward, context);
     if (refusal) {
       co_await Refuse(exchange, context, *refusal);
       co_return;
     }
+    context.tried_endpoints =
+        TriedEndpoints(context.route->max_attempts, forward->tried_endpoints);
     state_.metrics().OnReceivedFromPeer(context.service->name);
     LogReceivedFromPeer(context, *forward);
     ++peer_requests_;
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -40,8 +40,8 @@
   std::string peer{};
   /// The call to the first endpoint or to the daemon. Outlives this object.
   HttpCall* call = nullptr;
-  /// Set while a stage is suspected and nothing has arrived since: when `call`
-  /// is interrupted again.
+  /// When `call` is interrupted unless something arrives before. Of a chain,
+  /// set while a stage is suspected.
   std::optional<TimePoint> next_interrupt_at{};
 };
 
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -16,6 +16,7 @@
 #include "sycamoreford/relay/manifest.h"
 #include "sycamoreford/relay/relay_request.h"
 #include "sycamoreford/relay/request_trait.h"
+#include "sycamoreford/relay/tried_endpoints.h"
 
 namespace sycamoreford {
 
@@ -36,8 +37,11 @@
 /// Silence of another daemon after which a request that was forwarded to it is
 /// given up if nothing else was heard of it either.
 inline constexpr std::chrono::milliseconds kMaxPeerSilence{1'000};
-/// Maximum number of daemons that a request is forwarded to.
-inline constexpr std::size_t kMaxTriedPeers = 3;
+/// Pause between events of a stream that comes through another daemon after
+/// which further ones are tried; longer than those of a sound chain.
+inline constexpr std::chrono::milliseconds kMaxForwardSilence{1'000};
+/// Maximum number of times that a request is forwarded to another daemon.
+inline constexpr std::size_t kMaxForwards = 3;
 /// Part of the time left that is reserved for the way through another daemon.
 inline constexpr std::chrono::milliseconds kForwardTime{5};
 /// Maximum number of requests of other daemons at the same time; leaves most of
@@ -67,8 +71,15 @@
   int connect_failures = 0;
   /// Whether another daemon forwarded the request to this one.
   bool is_from_peer = false;
-  /// Daemons that the request was forwarded to.
+  /// Whether that daemon has got the head of a stream, which names the only
+  /// endpoint that it may come from.
+  bool has_named_endpoint = false;
+  /// Number of times that the request was forwarded to another daemon.
+  std::size_t forwards = 0;
+  /// Daemons that the request was forwarded to, and those of them that did not
+  /// name an endpoint.
   std::set<std::string> tried_peers;
+  std::set<std::string> failed_peers;
   /// Whether an endpoint may have run the request.
   bool may_have_run = false;
   /// Whether the request is sent once although it is quarantined.
@@ -79,7 +90,7 @@
   std::chrono::milliseconds allowed_after{0};
   /// What was last logged of an attempt that was silent.
   std::string_view silence_outcome;
-  std::set<std::string> tried_endpoints;
+  TriedEndpoints tried_endpoints;
 
   [[nodiscard]] std::chrono::milliseconds TimeLeft(TimePoint now) const {
     return std::max(
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -17,6 +17,7 @@
 #include "sycamoreford/relay/event_splitter.h"
 #include "sycamoreford/relay/relay_codec.h"
 #include "sycamoreford/relay/relay_request.h"
+#include "sycamoreford/relay/tried_endpoints.h"
 
 namespace sycamoreford {
 
@@ -38,6 +39,9 @@
   bool streams = false;
   /// Position in the stream after which this attempt goes on.
   EventSplitter position;
+  /// Place of the endpoint that another daemon chooses; empty if the request is
+  /// not forwarded.
+  TriedEndpoints::Place place{};
 };
 
 /// One send of a request whose response may be a stream of events, and what
@@ -146,6 +150,9 @@
   /// Precondition: `has_begun()`.
   [[nodiscard]] const ResponseHead& head() const noexcept { return head_; }
   [[nodiscard]] bool was_sent() const noexcept { return call_.was_sent(); }
+  [[nodiscard]] const TriedEndpoints::Place& place() const noexcept {
+    return options_.place;
+  }
   /// The reason of the last step `kNotSent`, `kWithheld` or `kLost`.
   [[nodiscard]] const Failure& failure() const noexcept { return failure_; }
   [[nodiscard]] HttpCall& call() noexcept { return call_; }
--- a/include/sycamoreford/relay/relay_codec.h
+++ b/include/sycamoreford/relay/relay_codec.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <concepts>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "sycamoreford/adapters/http_message.h"
@@ -20,6 +21,7 @@
                               const HttpFields& fields,
                               const PeerForward& forward,
                               const EndpointRunId& run,
+                              const std::set<std::string>& endpoints,
                               HttpResponse& response,
                               std::chrono::milliseconds retry_after) {
   { T::Decode(request) } -> std::same_as<Result<RelayRequest>>;
@@ -37,6 +39,8 @@
   { T::MarkNotRun(response, Refusal::kNoEndpoint) } -> std::same_as<void>;
   // Tells the daemon that forwarded a request which endpoint is leaving.
   { T::MarkLeaving(response, run) } -> std::same_as<void>;
+  // Tells the daemon that forwarded a request which endpoints it was sent to.
+  { T::MarkTried(response, endpoints) } -> std::same_as<void>;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -58,7 +58,8 @@
 struct PeerForward {
   /// Number of times that the request was sent to an endpoint.
   int sends = 0;
-  /// Endpoints that may have run the request.
+  /// Endpoints that the request was sent to, and placeholders, so that one
+  /// further endpoint is allowed at most.
   std::set<std::string> tried_endpoints;
   /// Revision of the configuration by which the request was admitted.
   std::uint64_t revision = 0;
@@ -95,6 +96,9 @@
   /// The run of an endpoint that is leaving. As decoded, it is what another
   /// daemon states of the endpoint whose response it forwards.
   std::optional<EndpointRunId> leaving_run;
+  /// The endpoints that another daemon has sent the request to; nothing if it
+  /// does not state them.
+  std::optional<std::set<std::string>> tried_endpoints;
 
   /// Sets `leaving_run` for a response that comes from an endpoint itself.
   ///
--- /dev/null
+++ b/src/relay/tried_endpoints.cc
@@ -0,0 +1,66 @@
+#include "sycamoreford/relay/tried_endpoints.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoreford {
+namespace {
+
+/// No id of an endpoint begins like this; it has no space, which separates ids
+/// in messages.
+constexpr char kPlacePrefix = '?';
+
+}  // namespace
+
+TriedEndpoints::TriedEndpoints(std::size_t max_endpoints,
+                               std::set<std::string> others)
+    : max_endpoints_(std::min(max_endpoints, others.size() + 1)),
+      all_(others),
+      others_(std::move(others)) {}
+
+void TriedEndpoints::Add(const std::string& endpoint) {
+  all_.insert(endpoint);
+  own_.insert(endpoint);
+}
+
+void TriedEndpoints::Remove(const std::string& endpoint) {
+  own_.erase(endpoint);
+  if (!others_.contains(endpoint)) {
+    all_.erase(endpoint);
+  }
+}
+
+TriedEndpoints::Place TriedEndpoints::Reserve() {
+  if (!AllowsFurther()) {
+    return {};
+  }
+  Place place = kPlacePrefix + std::to_string(++last_place_);
+  all_.insert(place);
+  return place;
+}
+
+void TriedEndpoints::Resolve(const Place& place,
+                             const std::set<std::string>& endpoints) {
+  all_.erase(place);
+  all_.insert(endpoints.begin(), endpoints.end());
+}
+
+std::set<std::string> TriedEndpoints::ForPeer(const Place& place) const {
+  std::set<std::string> tried = all_;
+  if (tried.erase(place) == 0) {
+    return tried;
+  }
+  for (std::size_t i = last_place_ + 1; tried.size() + 1 < max_endpoints_;
+       ++i) {
+    tried.insert(kPlacePrefix + std::to_string(i));
+  }
+  return tried;
+}
+
+bool TriedEndpoints::HasNamed() const {
+  return std::any_of(all_.begin(), all_.end(), [](const std::string& it) {
+    return it.front() != kPlacePrefix;
+  });
+}
+
+}  // namespace sycamoreford
--- a/tests/peer_format_test.cc
+++ b/tests/peer_format_test.cc
@@ -1,5 +1,6 @@
 // The formats between daemons, as recorded from the version before: each must
 // be read as it is, and written so that the version before reads it.
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -100,6 +101,20 @@
     CHECK(head.is_not_run);
     CHECK(head.is_backoff);
   }
+  SECTION("that names the endpoints that it was sent to") {
+    HttpRelayCodec::MarkTried(response, {"i-7f3a", "i-88d0"});
+    CHECK(response.fields.Get("Sycamoreford-Tried") == "i-7f3a i-88d0");
+    CHECK(response.fields.Get("Connection") == "Sycamoreford-Tried");
+    const auto head =
+        HttpRelayCodec::DecodeResponseHead("r1", 200, response.fields);
+    REQUIRE(head.tried_endpoints);
+    CHECK(*head.tried_endpoints == std::set<std::string>{"i-7f3a", "i-88d0"});
+    for (const auto& [name, value] :
+         HttpRelayCodec::EncodeResponse(200, response.fields).fields) {
+      CAPTURE(name);
+      CHECK(name.empty());
+    }
+  }
   SECTION("that names a leaving endpoint") {
     HttpRelayCodec::MarkLeaving(response, {"i-7f3a", 1'790'000'000'000});
     CHECK(response.fields.Get("Sycamoreford-Leaving") ==
--- a/tests/relay_forward_test.cc
+++ b/tests/relay_forward_test.cc
@@ -107,7 +107,8 @@
     CHECK(request.fields.Get("Host") == "a.example");
     CHECK(request.fields.Get("Api-Key") == "key-1");
     CHECK(request.fields.Get("X-Attempt-Id") == "r1");
-    CHECK(request.fields.Get(kForwarded) == "0 1");
+    // One further endpoint is left of the two that the route allows.
+    CHECK(request.fields.Get(kForwarded) == "0 1 ?2");
     const int left =
         std::stoi(std::string(request.fields.Get("X-Deadline-Ms")));
     CHECK(left < 5'000);
@@ -132,7 +133,7 @@
     fixture.Start();
     const std::string path = GENERATE("/safe/1", "/once/1");
     CHECK(ParseResponse(fixture.Fetch("POST", path)).body == "body");
-    CHECK(second.requests().front().fields.Get(kForwarded) == "0 1");
+    CHECK(second.requests().front().fields.Get(kForwarded) == "0 1 ?3");
   }
   SECTION("is refused if none has run it") {
     for (ScriptedEndpoint* peer : {&first, &second}) {
@@ -154,13 +155,31 @@
     CHECK(ParseResponse(fixture.Fetch("POST", path)).status == "502");
     CHECK(second.requests().empty());
   }
-  SECTION("that may run again is, and tells what may have run it") {
+  SECTION("that may run again is, and tells that one may have run it") {
     first.AddScript({Reset()});
     second.AddScript(Answer("200 OK", "body"));
     fixture.Start();
     CHECK(ParseResponse(fixture.Fetch("POST", "/safe/1")).body == "body");
-    CHECK(second.requests().front().fields.Get(kForwarded) ==
-          "1 1 " + first.address());
+    CHECK(second.requests().front().fields.Get(kForwarded) == "1 1 ?1");
+  }
+  SECTION("that may run again is, and tells which one has run it") {
+    first.AddScript(Answer("500 Internal Server Error", "failed",
+                           "X-Response-Seal: s\r\nSycamoreford-Tried: p7\r\n"
+                           "Connection: Sycamoreford-Tried\r\n"));
+    second.AddScript(Answer("200 OK", "body"));
+    fixture.Start();
+    const auto text = fixture.Fetch("POST", "/safe/1");
+    CHECK(ParseResponse(text).body == "body");
+    CHECK(second.requests().front().fields.Get(kForwarded) == "1 1 p7");
+  }
+  SECTION("does not show the caller which endpoints were tried") {
+    first.AddScript(Answer("200 OK", "body",
+                           "X-Response-Seal: s\r\nSycamoreford-Tried: p7\r\n"
+                           "Connection: Sycamoreford-Tried\r\n"));
+    fixture.Start();
+    const auto text = fixture.Fetch("POST", "/safe/1");
+    CHECK(ParseResponse(text).body == "body");
+    CHECK(text.find("Sycamoreford") == std::string::npos);
   }
   SECTION("a stream goes on at the exact position through the next one") {
     first.AddScript({Send(StreamHead() + Part(Event(0)) + Part(Event(1)) +
