Let a leaving endpoint's word hold for all its runs that have started by then

Cause: the word was kept for one run, by id and the start that the list showed. A response does not state the start of its run. If the endpoint had started anew under its id and the list was late, the word was filed under the run before, and the endpoint was used when the list showed the new one. A daemon that was told of the new run went on with the old list entry.

The change: LeavingEndpoints keeps, for each id, up to which start its runs are leaving or over. A word in a response holds for all runs that had started when it was heard. Requests that were chosen for an endpoint before are held back when their connection stands (EndpointGate), as for pauses.

--- a/include/sycamoreford/adapters/attempt_step.h
+++ b/include/sycamoreford/adapters/attempt_step.h
@@ -17,8 +17,8 @@
   kNotRun,
   /// No connection was established, so nothing was sent.
   kNotSent,
-  /// Nothing was sent, since the endpoint asked for a pause before the
-  /// connection was established.
+  /// Nothing was sent, since the endpoint asked for a pause, or said that it
+  /// leaves, before the connection was established.
   kWithheld,
   /// The response was lost; the request may have run.
   kLost,
--- a/include/sycamoreford/fleet/leaving_endpoints.h
+++ b/include/sycamoreford/fleet/leaving_endpoints.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "sycamoreford/core/clock.h"
@@ -16,46 +17,53 @@
 /// Remembers which runs of endpoints are leaving, also while they are missing
 /// from every list.
 ///
-/// Nothing but the end of a run ends its leaving, so a run is forgotten only
-/// when it has not been listed for `kMemory`. Beyond `kMaxRuns`, the one that
-/// was learned first is dropped.
+/// A run that leaves implies that the earlier runs under its id are over: a
+/// list that shows one of them is outdated.
+///
+/// Nothing but the end of a run ends its leaving, so an endpoint is forgotten
+/// only when no such run has been listed for `kMemory`. Beyond `kMaxEndpoints`,
+/// the one that was learned first is dropped.
 ///
 /// Thread safety: none.
 class LeavingEndpoints {
  public:
-  static constexpr std::size_t kMaxRuns = 4'096;
+  static constexpr std::size_t kMaxEndpoints = 4'096;
   static constexpr std::chrono::minutes kMemory{10};
 
+  /// \param run the last run of its endpoint that is leaving or over.
   /// \returns whether the run was not known to be leaving.
   bool Add(const EndpointRunId& run);
 
-  [[nodiscard]] bool Contains(const EndpointRunId& run) const {
-    return runs_.contains(run);
-  }
+  [[nodiscard]] bool Contains(const EndpointRunId& run) const;
 
-  /// Forgets runs that have not been listed for `kMemory`. Does nothing if it
-  /// was called less than `kSweepInterval` ago.
+  /// Forgets endpoints that have not been listed for `kMemory`. Does nothing if
+  /// it was called less than `kSweepInterval` ago.
   ///
-  /// \param is_listed whether a run is in the current list of endpoints.
+  /// \param is_listed whether a run of an endpoint that is leaving is in the
+  ///     current list.
   void Expire(TimePoint now,
-              const std::function<bool(const EndpointRunId&)>& is_listed);
+              const std::function<bool(const std::string&)>& is_listed);
 
   /// The runs that were learned last, newest first.
   [[nodiscard]] std::vector<EndpointRunId> Latest(std::size_t max_count) const;
 
-  [[nodiscard]] std::size_t size() const noexcept { return runs_.size(); }
+  /// Number of endpoints.
+  [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
  private:
   static constexpr std::chrono::seconds kSweepInterval{1};
 
   struct Entry {
-    /// Order in which the runs were learned.
+    /// Order in which the endpoints were learned.
     std::uint64_t number = 0;
-    /// When the run was first seen to be missing from the list.
+    /// Runs that started later are not known to leave.
+    std::uint64_t started_at_ms = 0;
+    /// When such a run was first seen to be missing from the list.
     std::optional<TimePoint> unlisted_since{};
   };
 
-  std::map<EndpointRunId, Entry> runs_;
+  /// By id.
+  std::map<std::string, Entry> entries_;
   std::uint64_t last_number_ = 0;
   TimePoint next_sweep_{};
 };
--- a/include/sycamoreford/relay/endpoint_gate.h
+++ b/include/sycamoreford/relay/endpoint_gate.h
@@ -37,7 +37,9 @@
 };
 
 /// Decides whether anything may be sent to an endpoint at present, by what the
-/// endpoint itself asked for: a pause, or a limited rate.
+/// endpoint itself asked for: a pause, or a limited rate. A request that was
+/// chosen for an endpoint is also held back if that has said since that it
+/// leaves.
 ///
 /// Everything that is sent to an endpoint asks here, right before it is sent.
 /// Only connections that carry nothing do not.
@@ -83,6 +85,7 @@
  private:
   [[nodiscard]] Duration BackoffLeft(const std::string& id,
                                      TimePoint now) const;
+  [[nodiscard]] bool IsLeaving(const std::string& id) const;
 
   const EndpointDirectory& directory_;
   EndpointLimits limits_;
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -92,9 +92,9 @@
     return entry.second.drop_at && now >= *entry.second.drop_at;
   });
   version_ += dropped > 0 ? 1 : 0;
-  leaving_.Expire(now, [&](const EndpointRunId& run) {
-    const KnownEndpoint* known = Find(run.id);
-    return known != nullptr && RunOf(known->record) == run;
+  leaving_.Expire(now, [&](const std::string& id) {
+    const KnownEndpoint* known = Find(id);
+    return known != nullptr && leaving_.Contains(RunOf(known->record));
   });
   return dropped > 0;
 }
@@ -175,7 +175,8 @@
 bool EndpointDirectory::OnLeaving(const EndpointRunId& run) {
   const bool is_news = leaving_.Add(run);
   const auto found = endpoints_.find(run.id);
-  if (found != endpoints_.end() && RunOf(found->second.record) == run &&
+  if (found != endpoints_.end() &&
+      leaving_.Contains(RunOf(found->second.record)) &&
       !found->second.record.is_leaving) {
     found->second.record.is_leaving = true;
     ++version_;
--- a/src/fleet/leaving_endpoints.cc
+++ b/src/fleet/leaving_endpoints.cc
@@ -5,36 +5,46 @@
 namespace sycamoreford {
 
 bool LeavingEndpoints::Add(const EndpointRunId& run) {
-  const auto [entry, is_new] =
-      runs_.try_emplace(run, Entry{.number = last_number_ + 1});
-  if (!is_new) {
+  if (Contains(run)) {
     return false;
   }
+  const auto [found, is_new] =
+      entries_.try_emplace(run.id, Entry{.number = last_number_ + 1});
+  found->second.started_at_ms = run.started_at_ms;
+  if (!is_new) {
+    return true;
+  }
   ++last_number_;
-  if (runs_.size() > kMaxRuns) {
-    runs_.erase(std::min_element(runs_.begin(), runs_.end(),
-                                 [](const auto& a, const auto& b) {
-                                   return a.second.number < b.second.number;
-                                 }));
+  if (entries_.size() > kMaxEndpoints) {
+    entries_.erase(std::min_element(entries_.begin(), entries_.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return a.second.number < b.second.number;
+                                    }));
   }
   return true;
 }
 
+bool LeavingEndpoints::Contains(const EndpointRunId& run) const {
+  const auto found = entries_.find(run.id);
+  return found != entries_.end() &&
+         run.started_at_ms <= found->second.started_at_ms;
+}
+
 void LeavingEndpoints::Expire(
     TimePoint now,
-    const std::function<bool(const EndpointRunId&)>& is_listed) {
+    const std::function<bool(const std::string&)>& is_listed) {
   if (now < next_sweep_) {
     return;
   }
   next_sweep_ = now + kSweepInterval;
-  for (auto& [run, entry] : runs_) {
-    if (is_listed(run)) {
+  for (auto& [id, entry] : entries_) {
+    if (is_listed(id)) {
       entry.unlisted_since.reset();
     } else {
       entry.unlisted_since = entry.unlisted_since.value_or(now);
     }
   }
-  std::erase_if(runs_, [&](const auto& it) {
+  std::erase_if(entries_, [&](const auto& it) {
     return it.second.unlisted_since &&
            now - *it.second.unlisted_since >= kMemory;
   });
@@ -43,8 +53,8 @@
 std::vector<EndpointRunId> LeavingEndpoints::Latest(
     std::size_t max_count) const {
   std::vector<std::pair<std::uint64_t, EndpointRunId>> numbered;
-  for (const auto& [run, entry] : runs_) {
-    numbered.emplace_back(entry.number, run);
+  for (const auto& [id, entry] : entries_) {
+    numbered.emplace_back(entry.number, EndpointRunId{id, entry.started_at_ms});
   }
   std::sort(numbered.rbegin(), numbered.rend());
   numbered.resize(std::min(numbered.size(), max_count));
--- a/src/relay/endpoint_gate.cc
+++ b/src/relay/endpoint_gate.cc
@@ -10,6 +10,11 @@
                           : backoffs_.TimeLeft(RunOf(known->record), now);
 }
 
+bool EndpointGate::IsLeaving(const std::string& id) const {
+  const KnownEndpoint* known = directory_.Find(id);
+  return known != nullptr && known->record.is_leaving;
+}
+
 bool EndpointGate::MaySend(const std::string& id,
                            SendKind kind,
                            TimePoint now) {
@@ -22,6 +27,7 @@
     case SendKind::kInspection:
       return limits_.MayOverdraw(id, now);
     case SendKind::kChosenRequest:
+      return !IsLeaving(id);
     case SendKind::kOrder:
       return true;
   }
--- a/tests/endpoint_gate_test.cc
+++ b/tests/endpoint_gate_test.cc
@@ -105,6 +105,18 @@
   }
 }
 
+TEST_CASE(
+    "a request that was chosen for an endpoint that leaves is held back") {
+  GateFixture fixture;
+  REQUIRE(fixture.gate.MaySend("e1", SendKind::kChosenRequest, kStart));
+  fixture.directory.OnLeaving(kRun);
+  CHECK_FALSE(fixture.gate.MaySend("e1", SendKind::kChosenRequest, kStart));
+  CHECK(fixture.gate.MaySend("e2", SendKind::kChosenRequest, kStart));
+  // It still reports, and takes orders to give up layers.
+  CHECK(fixture.gate.MaySend("e1", SendKind::kInspection, kStart));
+  CHECK(fixture.gate.MaySend("e1", SendKind::kOrder, kStart));
+}
+
 TEST_CASE("pauses are bounded") {
   GateFixture fixture;
   EndpointBackoffs& backoffs = fixture.gate.backoffs();
