Reject list entries with values out of range

What operators of another system saw: one odd entry among those of the endpoints ended the processes that read the list.

A port out of range, a host name or a key with spaces or line breaks made an endpoint that could be chosen, as a later stage of a chain too, and a number out of range was converted without a check, which is undefined. An entry with such an address, key, Slots or born names no endpoint now, and such layers are none.

--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -6,6 +6,9 @@
 #include "http_relay_codec.h"
 #include "manifest_codec.h"
 #include "settings.h"
+#include "sycamoreford/adapters/peer_datagrams.h"
+#include "sycamoreford/fleet/peer_state.h"
+#include "sycamoreford/lease/lease_machine.h"
 
 namespace sycamoreford::platform {
 namespace {
@@ -192,6 +195,61 @@
         R"({"Service":"m","Address":null,"State":"ready"})");
     REQUIRE_FALSE(DecodeEndpoint("i-1", row).has_value());
   }
+  SECTION("a row with a value out of range is rejected") {
+    const std::string member = GENERATE(
+        R"("Address":"1.2.3.4:70000")", R"("Address":"1.2.3.4:0")",
+        R"("Address":"1.2.3.4:-1")", R"("Address":"1.2.3.4")",
+        R"("Address":"1.2.3.400:80")", R"("Address":"a.example:80")",
+        R"("Slots":1e300)", R"("Slots":4294967296)", R"("Slots":-1)",
+        R"("born":1e300)", R"("born":18446744073709551616)", R"("born":-1)");
+    CAPTURE(member);
+    const std::string row =
+        R"({"Service":"m","State":"ready",)" + member +
+        (member.starts_with(R"("Address")") ? "}"
+                                            : R"(,"Address":"1.2.3.4:80"})");
+    REQUIRE_FALSE(DecodeEndpoint("i-1", row).has_value());
+  }
+  SECTION("a row whose key is no id is rejected") {
+    const std::string id = GENERATE(as<std::string>{}, "", "i 1", "i-1\r\nA: b",
+                                    "i-1,i-2", "\xc3\xa9");
+    REQUIRE_FALSE(DecodeEndpoint(id, text).has_value());
+  }
+  SECTION("layers out of range are none") {
+    const std::string layers =
+        GENERATE(R"({"From":0,"To":1e300})", R"({"From":-1,"To":4})",
+                 R"({"From":0,"To":4294967296})", R"({"From":1e300,"To":9})");
+    const auto record = DecodeEndpoint(
+        "i-1", R"({"Service":"m","State":"ready","Address":"1.2.3.4:80",)"
+               R"("Layers":)" +
+                   layers + "}");
+    REQUIRE(record.has_value());
+    REQUIRE(record->layers == LayerRange{});
+  }
+  SECTION("whatever is nested deeply is rejected") {
+    constexpr std::size_t kDepth = 100'000;
+    const std::string nested = GENERATE(as<std::string>{}, "[", R"({"a":)");
+    std::string deep;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      deep += nested;
+    }
+    REQUIRE_FALSE(DecodeEndpoint("i-1", deep).has_value());
+    REQUIRE_FALSE(DecodeReport(deep).has_value());
+    REQUIRE_FALSE(DecodeManifest(deep).has_value());
+    REQUIRE_FALSE(PeerMessage::Parse(deep).has_value());
+    REQUIRE_FALSE(PeerState::Parse(deep).has_value());
+    REQUIRE_FALSE(ParseLease(deep).has_value());
+  }
+  SECTION("numbers out of range in a report are none") {
+    const auto report =
+        DecodeReport(R"({"Busy":true,"Sequence":1e300,"born":-5,"Queued":1e20,)"
+                     R"("InFlight":-1,"Layers":{"From":0,"To":1e18}})");
+    REQUIRE(report.has_value());
+    REQUIRE(report->order_sequence == 0);
+    REQUIRE(report->started_at_ms == 0);
+    REQUIRE(report->queued == 0);
+    REQUIRE(report->in_flight == 0);
+    REQUIRE(report->layers == LayerRange{});
+  }
   SECTION("a report names the stages that stall requests") {
     const auto report = DecodeReport(
         R"({"Busy":true,"Sequence":3,"Layers":{"From":0,"To":25},"pace":2.5,)"
