--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -246,7 +246,11 @@
       .With("started_at_ms", run.started_at_ms)
       .With("source", ToString(source));
   if (notify_leaving_ && source != LeavingSource::kPeer) {
-    notify_leaving_(last_run);
+    notify_leaving_(run);
+    // Daemons of the version before know the listed run only.
+    if (last_run != run) {
+      notify_leaving_(last_run);
+    }
   }
 }
 
