--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -345,7 +345,10 @@
     NoteForwardedHead(context, attempt);
     const bool names_endpoint =
         attempt.has_begun() && attempt.head().tried_endpoints;
-    if (!names_endpoint) {
+    // Daemons of the version before name no endpoint.
+    const bool passes_on = attempt.has_begun() && attempt.head().IsTrusted() &&
+                           !attempt.head().is_not_run;
+    if (!names_endpoint && !passes_on) {
       context.failed_peers.insert(peer);
       state_.peers().OnRefused(peer, clock_.Now());
     }
