--- a/tests/support/relay_network.h
+++ b/tests/support/relay_network.h
@@ -142,7 +142,7 @@
   ///
   /// \returns its id.
   std::string Send(std::size_t relay, const std::string& path) {
-    const std::string id = "r" + std::to_string(++requests_);
+    std::string id = "r" + std::to_string(++requests_);
     boost::asio::co_spawn(context_, SendOne(relay, path, id),
                           boost::asio::detached);
     return id;
