Tell until when a leaving endpoint's word holds, in one message

What callers could see: nothing broken was observed. A word that an endpoint leaves, heard in a response, was told to the other daemons as two runs: the listed one, and one that "started" when this daemon heard it. The second differs from daemon to daemon, so that a message of another daemon did not make a daemon's own one unnecessary: with many daemons that hear the word at the same time, each told it.

Cause: a run's start and the time at which it said that it leaves were kept in one field. Four places recorded the word (requests, inspections, placement, messages), each with its own idea of the run; inspections and placement dropped it if the report's start was not the listed one.

LeavingRun holds both values. LeavingRecorder is the one place that records, logs, counts and has others told. A report states its own start, so its word is recorded for that run even if the list is older. Daemons of the version before read the listed run and ignore `until` (peer_format_test).

--- a/include/sycamoreford/adapters/chain_attempt.h
+++ b/include/sycamoreford/adapters/chain_attempt.h
@@ -13,7 +13,6 @@
 #include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/relay_state.h"
 #include "sycamoreford/adapters/stream_attempt.h"
-#include "sycamoreford/core/log.h"
 
 namespace sycamoreford {
 
@@ -118,14 +117,8 @@
       state_.OnReportedLoad(service_, destination(), *head().load,
                             clock().Now());
     }
-    if (head().leaving_run) {
-      state_.OnLeaving(*head().leaving_run, LeavingSource::kResponse);
-    } else if (head().is_leaving) {
-      LogEvent(Severity::kInfo, "leaving_not_noted")
-          .With("endpoint", destination())
-          .With("request", request_id())
-          .With("status", head().status);
-    }
+    state_.leaving().OnHead(head(), destination(), request_id(),
+                            LeavingSource::kResponse);
     // Whatever else is wrong with the response, its sender asks for a pause.
     if (head().retry_after && sender()) {
       state_.OnRetryAfter(*sender(), *head().retry_after,
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -163,8 +163,9 @@
     options->deadline = context.deadline;
     options->connect_timeout = relay::kConnectTimeout;
     options->max_response_bytes = relay::kMaxResponseBytes;
-    options->on_head = [this, run = options->run](const ResponseHead& head) {
-      OnHead(run, head);
+    options->on_head = [this, sender = options->endpoint, run = options->run,
+                        id = options->request_id](const ResponseHead& head) {
+      OnHead(sender, run, id, head);
     };
     if (!options->is_forwarded) {
       context.tried_endpoints.Add(options->endpoint);
@@ -179,14 +180,15 @@
 
   /// Called when the head of a response has arrived.
   ///
+  /// \param sender id of the endpoint, or address of the other daemon.
   /// \param run empty if it came through another daemon.
-  void OnHead(const std::optional<EndpointRunId>& run,
+  void OnHead(const std::string& sender,
+              const std::optional<EndpointRunId>& run,
+              const std::string& request_id,
               const ResponseHead& head) const {
-    if (head.leaving_run) {
-      state_.OnLeaving(
-          *head.leaving_run,
-          run ? LeavingSource::kResponse : LeavingSource::kForwardedResponse);
-    }
+    state_.leaving().OnHead(
+        head, sender, request_id,
+        run ? LeavingSource::kResponse : LeavingSource::kForwardedResponse);
     if (run && head.retry_after) {
       state_.OnRetryAfter(*run, *head.retry_after, BackoffSource::kRequest,
                           clock_.Now());
--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -158,15 +158,16 @@
       state_.OnEndpointSuspected(id, "no_report", clock_.Now());
       co_return;
     }
+    if (report->is_leaving) {
+      state_.leaving().OnStated({id, report->started_at_ms},
+                                LeavingSource::kReport);
+    }
     known = state_.directory().Find(id);
     if (known != nullptr &&
         known->record.started_at_ms != report->started_at_ms) {
       state_.OnEndpointSuspected(id, "restarted", clock_.Now());
       co_return;
     }
-    if (report->is_leaving && known != nullptr) {
-      state_.OnLeaving(RunOf(known->record), LeavingSource::kReport);
-    }
     state_.directory().OnLayers(id, report->layers);
     state_.OnSlowness(id, report->slowness);
     state_.OnStatedLimit(id, report->request_limit, sent_at, clock_.Now());
--- a/include/sycamoreford/adapters/leaving_announcer.h
+++ b/include/sycamoreford/adapters/leaving_announcer.h
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <random>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -15,7 +15,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "sycamoreford/adapters/pause.h"
-#include "sycamoreford/fleet/endpoint_run_id.h"
+#include "sycamoreford/fleet/leaving_run.h"
 
 namespace sycamoreford {
 
@@ -29,7 +29,7 @@
 class LeavingAnnouncer {
  public:
   /// Sends a message of at most `kRunsPerMessage` runs to all other daemons.
-  using Sender = std::function<void(const std::vector<EndpointRunId>&)>;
+  using Sender = std::function<void(const std::vector<LeavingRun>&)>;
 
   /// Such a message fits into a datagram with ids of usual length.
   static constexpr std::size_t kRunsPerMessage = 4;
@@ -43,8 +43,8 @@
   /// as far as it knows.
   ///
   /// \param interval_factor grows with the number of daemons; 1 with few.
-  void Add(const EndpointRunId& run, std::uint32_t interval_factor) {
-    pending_.insert(run);
+  void Add(const LeavingRun& leaving, std::uint32_t interval_factor) {
+    pending_[leaving.run] = leaving.until_ms;
     if (!is_waiting_) {
       is_waiting_ = true;
       boost::asio::co_spawn(context_, SendPending(interval_factor),
@@ -53,10 +53,10 @@
   }
 
   /// Splits runs into messages of at most `kRunsPerMessage`.
-  [[nodiscard]] static std::vector<std::vector<EndpointRunId>> Split(
-      const std::vector<EndpointRunId>& runs) {
-    std::vector<std::vector<EndpointRunId>> messages;
-    for (const EndpointRunId& run : runs) {
+  [[nodiscard]] static std::vector<std::vector<LeavingRun>> Split(
+      const std::vector<LeavingRun>& runs) {
+    std::vector<std::vector<LeavingRun>> messages;
+    for (const LeavingRun& run : runs) {
       if (messages.empty() || messages.back().size() == kRunsPerMessage) {
         messages.emplace_back();
       }
@@ -65,7 +65,8 @@
     return messages;
   }
 
-  /// Called when another daemon told of a run.
+  /// Called when another daemon told of a run. That it heard of it at another
+  /// time does not matter.
   void OnTold(const EndpointRunId& run) { pending_.erase(run); }
 
  private:
@@ -80,7 +81,10 @@
         std::min(kMinDelay * interval_factor, kMaxDelay).count());
     co_await Pause(std::chrono::milliseconds(delay_ms(random_)));
     is_waiting_ = false;
-    const std::vector<EndpointRunId> runs(pending_.begin(), pending_.end());
+    std::vector<LeavingRun> runs;
+    for (const auto& [run, until_ms] : pending_) {
+      runs.push_back({.run = run, .until_ms = until_ms});
+    }
     pending_.clear();
     for (const auto& message : Split(runs)) {
       send_(message);
@@ -89,8 +93,8 @@
 
   boost::asio::io_context& context_;
   Sender send_;
-  /// Runs that are to be told.
-  std::set<EndpointRunId> pending_;
+  /// Runs that are to be told, with their `LeavingRun::until_ms`.
+  std::map<EndpointRunId, std::uint64_t> pending_;
   bool is_waiting_ = false;
   std::minstd_rand random_{std::random_device{}()};
 };
--- a/include/sycamoreford/adapters/peer_attempt.h
+++ b/include/sycamoreford/adapters/peer_attempt.h
@@ -57,10 +57,8 @@
 
  private:
   void OnHeadDecoded() override {
-    if (Base::head().leaving_run) {
-      state_.OnLeaving(*Base::head().leaving_run,
-                       LeavingSource::kForwardedResponse);
-    }
+    state_.leaving().OnHead(Base::head(), address_, Base::request_id(),
+                            LeavingSource::kForwardedResponse);
   }
   void OnProgress(TimePoint now) override {
     (*registration_)->next_interrupt_at =
--- a/include/sycamoreford/adapters/peer_datagrams.h
+++ b/include/sycamoreford/adapters/peer_datagrams.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include "sycamoreford/fleet/endpoint_run_id.h"
+#include "sycamoreford/fleet/leaving_run.h"
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/chain_loads.h"
 #include "sycamoreford/relay/endpoint_limits.h"
@@ -35,7 +35,7 @@
   /// Whether the sender asks for what others know; if so, nothing else is set.
   bool asks = false;
   /// Runs of endpoints that are leaving.
-  std::vector<EndpointRunId> leaving;
+  std::vector<LeavingRun> leaving;
   /// Service that `usage` belongs to.
   std::string service;
   RetryUsage usage;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -66,8 +66,8 @@
       SendLoad(service, report);
     });
     state_.SetLimitNotifier([this] { SendDueLimits(); });
-    state_.SetLeavingNotifier([this](const EndpointRunId& run) {
-      leaving_announcer_.Add(run, state_.interval_factor());
+    state_.leaving().SetNotifier([this](const LeavingRun& leaving) {
+      leaving_announcer_.Add(leaving, state_.interval_factor());
     });
     state_.quarantine().SetPeerNotifier([this](const TraitReport& it) {
       SendReport(roster_.roster().Addresses(), it);
@@ -191,7 +191,7 @@
   }
 
   void SendLeaving(const std::vector<std::string>& addresses,
-                   const std::vector<EndpointRunId>& runs) {
+                   const std::vector<LeavingRun>& runs) {
     PeerMessage message;
     message.leaving = runs;
     datagrams_.Send(addresses, message);
@@ -260,10 +260,10 @@
     return roster_.roster().Contains(address);
   }
 
-  void OnLeaving(const std::vector<EndpointRunId>& runs) {
-    for (const EndpointRunId& run : runs) {
-      leaving_announcer_.OnTold(run);
-      state_.OnLeaving(run, LeavingSource::kPeer);
+  void OnLeaving(const std::vector<LeavingRun>& runs) {
+    for (const LeavingRun& leaving : runs) {
+      leaving_announcer_.OnTold(leaving.run);
+      state_.leaving().OnTold(leaving);
     }
   }
 
--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -233,12 +233,11 @@
       scheduler_.OnRefused(change.accelerator_id, clock_.Now());
       co_return;
     }
-    known = state_.directory().Find(change.accelerator_id);
-    if (known != nullptr &&
-        known->record.started_at_ms == report->started_at_ms &&
-        report->is_leaving) {
-      state_.OnLeaving(RunOf(known->record), LeavingSource::kReport);
+    if (report->is_leaving) {
+      state_.leaving().OnStated({change.accelerator_id, report->started_at_ms},
+                                LeavingSource::kReport);
     }
+    known = state_.directory().Find(change.accelerator_id);
     const bool was_degraded = known != nullptr && IsDegraded(known->slowness);
     state_.OnSlowness(change.accelerator_id, report->slowness);
     if (IsDegraded(report->slowness) && !was_degraded) {
@@ -261,8 +260,8 @@
     state_.OnSent(change.accelerator_id, clock_.Now());
     const auto reply = co_await control_.SendOrder(address, order);
     if (reply && reply->is_leaving) {
-      state_.OnLeaving({change.accelerator_id, report->started_at_ms},
-                       LeavingSource::kOrder);
+      state_.leaving().OnStated({change.accelerator_id, report->started_at_ms},
+                                LeavingSource::kOrder);
     }
     if (reply && reply->retry_after) {
       state_.OnRetryAfter({change.accelerator_id, report->started_at_ms},
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -12,12 +12,12 @@
 #include <vector>
 
 #include "sycamoreford/adapters/http_client.h"
+#include "sycamoreford/adapters/leaving_recorder.h"
 #include "sycamoreford/adapters/quarantine_guard.h"
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_directory.h"
 #include "sycamoreford/fleet/fleet_accelerators.h"
 #include "sycamoreford/fleet/isolation_detector.h"
-#include "sycamoreford/fleet/leaving_source.h"
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/backoff_source.h"
 #include "sycamoreford/relay/chain_selector.h"
@@ -212,15 +212,8 @@
     notify_limits_ = std::move(notify);
   }
 
-  /// Sets the function that tells other daemons that an endpoint is leaving.
-  void SetLeavingNotifier(std::function<void(const EndpointRunId&)> notify) {
-    notify_leaving_ = std::move(notify);
-  }
-
-  /// Called when a run of an endpoint is known to be leaving. It gets no
-  /// further requests; the other daemons are told unless one of them told this
-  /// one.
-  void OnLeaving(const EndpointRunId& run, LeavingSource source);
+  /// What endpoints and other daemons say of endpoints that leave.
+  [[nodiscard]] LeavingRecorder& leaving() noexcept { return leaving_; }
 
   /// Called for each response of an endpoint.
   ///
@@ -299,6 +292,7 @@
   QuarantineGuard quarantine_;
   ConfigurationWait configuration_wait_;
   RelayMetrics metrics_;
+  LeavingRecorder leaving_{directory_, metrics_};
   std::map<std::string, ServiceChains> chains_;
   std::map<std::string, FleetRetryBudget> retry_budgets_;
   std::list<ActiveAttempt> attempts_;
@@ -313,7 +307,6 @@
   std::function<void(const std::string&, std::optional<double>)> notify_peers_;
   std::function<void()> notify_limits_;
   std::function<void(const std::string&, const ChainLoadReport&)> notify_loads_;
-  std::function<void(const EndpointRunId&)> notify_leaving_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/fleet/endpoint_directory.h
+++ b/include/sycamoreford/fleet/endpoint_directory.h
@@ -96,10 +96,10 @@
   /// The endpoint responded to a request.
   void OnSuccess(std::string_view id);
 
-  /// A run of an endpoint, which need not be listed, is leaving.
+  /// Runs of an endpoint, which need not be listed, are leaving.
   ///
   /// \returns whether this was not known.
-  bool OnLeaving(const EndpointRunId& run);
+  bool OnLeaving(const LeavingRun& leaving);
 
   [[nodiscard]] const LeavingEndpoints& leaving() const noexcept {
     return leaving_;
--- a/include/sycamoreford/fleet/leaving_endpoints.h
+++ b/include/sycamoreford/fleet/leaving_endpoints.h
@@ -11,6 +11,7 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_run_id.h"
+#include "sycamoreford/fleet/leaving_run.h"
 
 namespace sycamoreford {
 
@@ -30,9 +31,8 @@
   static constexpr std::size_t kMaxEndpoints = 4'096;
   static constexpr std::chrono::minutes kMemory{10};
 
-  /// \param run the last run of its endpoint that is leaving or over.
-  /// \returns whether the run was not known to be leaving.
-  bool Add(const EndpointRunId& run);
+  /// \returns whether any of these runs was not known to be leaving.
+  bool Add(const LeavingRun& leaving);
 
   [[nodiscard]] bool Contains(const EndpointRunId& run) const;
 
@@ -44,8 +44,8 @@
   void Expire(TimePoint now,
               const std::function<bool(const std::string&)>& is_listed);
 
-  /// The runs that were learned last, newest first.
-  [[nodiscard]] std::vector<EndpointRunId> Latest(std::size_t max_count) const;
+  /// What was learned last, newest first.
+  [[nodiscard]] std::vector<LeavingRun> Latest(std::size_t max_count) const;
 
   /// Number of endpoints.
   [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
@@ -56,8 +56,10 @@
   struct Entry {
     /// Order in which the endpoints were learned.
     std::uint64_t number = 0;
-    /// Runs that started later are not known to leave.
+    /// Start of the last run that is known by its start.
     std::uint64_t started_at_ms = 0;
+    /// Runs that started later are not known to leave.
+    std::uint64_t until_ms = 0;
     /// When such a run was first seen to be missing from the list.
     std::optional<TimePoint> unlisted_since{};
   };
--- a/src/adapters/peer_datagrams.cc
+++ b/src/adapters/peer_datagrams.cc
@@ -141,17 +141,25 @@
           .age = ToAge(object.at("age"))};
 }
 
-json::array ToJson(const std::vector<EndpointRunId>& runs) {
+json::array ToJson(const std::vector<LeavingRun>& runs) {
   json::array array;
-  for (const EndpointRunId& run : runs) {
-    array.push_back({{"endpoint", run.id}, {"start", run.started_at_ms}});
+  for (const auto& [run, until_ms] : runs) {
+    json::object object = {{"endpoint", run.id}, {"start", run.started_at_ms}};
+    if (until_ms > run.started_at_ms) {
+      object["until"] = until_ms;
+    }
+    array.push_back(std::move(object));
   }
   return array;
 }
 
-EndpointRunId ToRunId(const json::object& object) {
-  return {json::value_to<std::string>(object.at("endpoint")),
-          object.at("start").to_number<std::uint64_t>()};
+LeavingRun ToLeavingRun(const json::object& object) {
+  LeavingRun leaving{.run = {json::value_to<std::string>(object.at("endpoint")),
+                             object.at("start").to_number<std::uint64_t>()}};
+  if (const json::value* until = object.if_contains("until")) {
+    leaving.until_ms = until->to_number<std::uint64_t>();
+  }
+  return leaving;
 }
 
 EndpointLimitReport ToLimitReport(const json::object& object) {
@@ -220,7 +228,7 @@
     }
     if (const json::value* leaving = object.if_contains("leaving")) {
       for (const json::value& run : leaving->as_array()) {
-        message.leaving.push_back(ToRunId(run.as_object()));
+        message.leaving.push_back(ToLeavingRun(run.as_object()));
       }
       return message;
     }
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -18,13 +18,6 @@
 /// within the second for which a sound endpoint may be silent.
 constexpr std::chrono::milliseconds kSilenceInterval{250};
 
-std::uint64_t WallClockMs() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 std::string Describe(const Chain& stages) {
   std::string text;
   for (const ChainStage& stage : stages) {
@@ -228,32 +221,6 @@
   }
 }
 
-void RelayState::OnLeaving(const EndpointRunId& run, LeavingSource source) {
-  if (directory_.leaving().Contains(run)) {
-    return;
-  }
-  EndpointRunId last_run = run;
-  if (source == LeavingSource::kResponse ||
-      source == LeavingSource::kForwardedResponse) {
-    // A response does not state the start of its run, which may be later than
-    // the list shows.
-    last_run.started_at_ms = std::max(last_run.started_at_ms, WallClockMs());
-  }
-  directory_.OnLeaving(last_run);
-  metrics_.OnLeaving(ToString(source));
-  LogEvent(Severity::kInfo, "endpoint_leaving")
-      .With("endpoint", run.id)
-      .With("started_at_ms", run.started_at_ms)
-      .With("source", ToString(source));
-  if (notify_leaving_ && source != LeavingSource::kPeer) {
-    notify_leaving_(run);
-    // Daemons of the version before know the listed run only.
-    if (last_run != run) {
-      notify_leaving_(last_run);
-    }
-  }
-}
-
 void RelayState::OnStatedLimit(const std::string& id,
                                std::optional<double> per_second,
                                TimePoint sent_at,
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -35,7 +35,7 @@
 
 void EndpointDirectory::Upsert(EndpointRecord record) {
   if (record.is_leaving) {
-    leaving_.Add(RunOf(record));
+    leaving_.Add({.run = RunOf(record)});
   }
   record.is_leaving = record.is_leaving || leaving_.Contains(RunOf(record));
   const auto [entry, is_new] = endpoints_.try_emplace(record.id);
@@ -172,9 +172,9 @@
   }
 }
 
-bool EndpointDirectory::OnLeaving(const EndpointRunId& run) {
-  const bool is_news = leaving_.Add(run);
-  const auto found = endpoints_.find(run.id);
+bool EndpointDirectory::OnLeaving(const LeavingRun& leaving) {
+  const bool is_news = leaving_.Add(leaving);
+  const auto found = endpoints_.find(leaving.run.id);
   if (found != endpoints_.end() &&
       leaving_.Contains(RunOf(found->second.record)) &&
       !found->second.record.is_leaving) {
--- a/src/fleet/leaving_endpoints.cc
+++ b/src/fleet/leaving_endpoints.cc
@@ -4,13 +4,17 @@
 
 namespace sycamoreford {
 
-bool LeavingEndpoints::Add(const EndpointRunId& run) {
-  if (Contains(run)) {
+bool LeavingEndpoints::Add(const LeavingRun& leaving) {
+  const auto& [run, said_until_ms] = leaving;
+  const std::uint64_t until_ms = std::max(run.started_at_ms, said_until_ms);
+  if (Contains({run.id, until_ms})) {
     return false;
   }
   const auto [found, is_new] =
       entries_.try_emplace(run.id, Entry{.number = last_number_ + 1});
-  found->second.started_at_ms = run.started_at_ms;
+  Entry& entry = found->second;
+  entry.started_at_ms = std::max(entry.started_at_ms, run.started_at_ms);
+  entry.until_ms = until_ms;
   if (!is_new) {
     return true;
   }
@@ -26,8 +30,7 @@
 
 bool LeavingEndpoints::Contains(const EndpointRunId& run) const {
   const auto found = entries_.find(run.id);
-  return found != entries_.end() &&
-         run.started_at_ms <= found->second.started_at_ms;
+  return found != entries_.end() && run.started_at_ms <= found->second.until_ms;
 }
 
 void LeavingEndpoints::Expire(
@@ -50,15 +53,16 @@
   });
 }
 
-std::vector<EndpointRunId> LeavingEndpoints::Latest(
-    std::size_t max_count) const {
-  std::vector<std::pair<std::uint64_t, EndpointRunId>> numbered;
+std::vector<LeavingRun> LeavingEndpoints::Latest(std::size_t max_count) const {
+  std::vector<std::pair<std::uint64_t, LeavingRun>> numbered;
   for (const auto& [id, entry] : entries_) {
-    numbered.emplace_back(entry.number, EndpointRunId{id, entry.started_at_ms});
+    numbered.emplace_back(
+        entry.number, LeavingRun{{id, entry.started_at_ms}, entry.until_ms});
   }
-  std::sort(numbered.rbegin(), numbered.rend());
+  std::sort(numbered.begin(), numbered.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
   numbered.resize(std::min(numbered.size(), max_count));
-  std::vector<EndpointRunId> runs;
+  std::vector<LeavingRun> runs;
   runs.reserve(numbered.size());
   for (auto& [number, run] : numbered) {
     runs.push_back(std::move(run));
--- a/tests/endpoint_gate_test.cc
+++ b/tests/endpoint_gate_test.cc
@@ -109,7 +109,7 @@
     "a request that was chosen for an endpoint that leaves is held back") {
   GateFixture fixture;
   REQUIRE(fixture.gate.MaySend("e1", SendKind::kChosenRequest, kStart));
-  fixture.directory.OnLeaving(kRun);
+  fixture.directory.OnLeaving({.run = kRun});
   CHECK_FALSE(fixture.gate.MaySend("e1", SendKind::kChosenRequest, kStart));
   CHECK(fixture.gate.MaySend("e2", SendKind::kChosenRequest, kStart));
   // It still reports, and takes orders to give up layers.
--- a/tests/leaving_endpoints_test.cc
+++ b/tests/leaving_endpoints_test.cc
@@ -38,12 +38,12 @@
   };
   REQUIRE(is_usable());
   const auto version = directory.version();
-  REQUIRE(directory.OnLeaving({"a", 1}));
+  REQUIRE(directory.OnLeaving({.run = {"a", 1}}));
 
   SECTION("is not used any more") {
     CHECK_FALSE(is_usable());
     CHECK(directory.version() != version);
-    CHECK_FALSE(directory.OnLeaving({"a", 1}));
+    CHECK_FALSE(directory.OnLeaving({.run = {"a", 1}}));
   }
   SECTION("is not used although the list says that it is sound") {
     directory.Upsert(Record("a", 1));
@@ -64,14 +64,14 @@
   SECTION("does not speak for the next one, nor that one for it") {
     directory.Upsert(Record("a", 2));
     CHECK(is_usable());
-    CHECK_FALSE(directory.OnLeaving({"a", 1}));
+    CHECK_FALSE(directory.OnLeaving({.run = {"a", 1}}));
     CHECK(is_usable());
     directory.Upsert(Record("a", 1));
     CHECK_FALSE(is_usable());
   }
   SECTION("is known while the list shows the run before") {
     directory.Upsert(Record("b", 3));
-    CHECK(directory.OnLeaving({"b", 7}));
+    CHECK(directory.OnLeaving({.run = {"b", 7}}));
     CHECK_FALSE(directory.Find("b")->IsUsable(kStart));
     directory.Upsert(Record("b", 7));
     CHECK_FALSE(directory.Find("b")->IsUsable(kStart));
@@ -79,7 +79,7 @@
     CHECK(directory.Find("b")->IsUsable(kStart));
   }
   SECTION("is forgotten only when no run that it speaks for is listed") {
-    directory.OnLeaving({"b", 10});
+    directory.OnLeaving({.run = {"b", 10}});
     directory.Upsert(Record("b", 7));
     directory.Expire(kStart);
     directory.Expire(kStart + minutes(60));
@@ -92,7 +92,7 @@
     CHECK_FALSE(directory.leaving().Contains({"b", 7}));
   }
   SECTION("is known before it is listed") {
-    CHECK(directory.OnLeaving({"b", 7}));
+    CHECK(directory.OnLeaving({.run = {"b", 7}}));
     directory.Upsert(Record("b", 7));
     CHECK_FALSE(directory.Find("b")->IsUsable(kStart));
   }
@@ -111,17 +111,19 @@
   SECTION("in number") {
     constexpr std::size_t kMax = LeavingEndpoints::kMaxEndpoints;
     for (std::uint64_t i = 0; i <= kMax; ++i) {
-      CHECK(leaving.Add({"e" + std::to_string(i), i}));
+      CHECK(leaving.Add({.run = {"e" + std::to_string(i), i}}));
     }
     CHECK(leaving.size() == kMax);
     CHECK_FALSE(leaving.Contains({"e0", 0}));
     CHECK(leaving.Contains({"e1", 1}));
-    CHECK(leaving.Latest(2) == std::vector<EndpointRunId>{
-                                   {"e" + std::to_string(kMax), kMax},
-                                   {"e" + std::to_string(kMax - 1), kMax - 1}});
+    CHECK(leaving.Latest(2) ==
+          std::vector<LeavingRun>{
+              {.run = {"e" + std::to_string(kMax), kMax}, .until_ms = kMax},
+              {.run = {"e" + std::to_string(kMax - 1), kMax - 1},
+               .until_ms = kMax - 1}});
   }
   SECTION("in time, from when the run is no longer listed") {
-    leaving.Add({"e", 1});
+    leaving.Add({.run = {"e", 1}});
     bool is_listed = true;
     const auto check = [&](const std::string&) { return is_listed; };
     leaving.Expire(kStart, check);
@@ -140,7 +142,8 @@
   PeerMessage message;
   for (std::uint64_t i = 0; i < LeavingAnnouncer::kRunsPerMessage; ++i) {
     message.leaving.push_back(
-        {"i-0123456789abcdef0123456789abcdef", 1'790'000'000'000 + i});
+        {.run = {"i-0123456789abcdef0123456789abcdef", 1'790'000'000'000 + i},
+         .until_ms = 1'790'000'009'000 + i});
   }
   const std::string text = message.ToText();
   CHECK(text.size() <= 512);
@@ -160,24 +163,28 @@
   std::vector<std::unique_ptr<LeavingAnnouncer>> daemons;
   std::size_t messages = 0;
   const auto deliver =
-      [&](std::vector<EndpointRunId> runs) -> boost::asio::awaitable<void> {
+      [&](std::vector<LeavingRun> runs) -> boost::asio::awaitable<void> {
     co_await Pause(kLatency);
     for (const auto& daemon : daemons) {
-      for (const EndpointRunId& run : runs) {
-        daemon->OnTold(run);
+      for (const LeavingRun& leaving : runs) {
+        daemon->OnTold(leaving.run);
       }
     }
   };
   for (std::size_t i = 0; i < kDaemons; ++i) {
     daemons.push_back(std::make_unique<LeavingAnnouncer>(
-        context, [&](const std::vector<EndpointRunId>& runs) {
+        context, [&](const std::vector<LeavingRun>& runs) {
           ++messages;
           boost::asio::co_spawn(context, deliver(runs), boost::asio::detached);
         }));
   }
+  std::uint64_t heard_at_ms = 1'790'000'000'000;
   for (const auto& daemon : daemons) {
+    // Each hears of it at a time of its own.
+    ++heard_at_ms;
     for (std::uint64_t run = 0; run < kEndpoints; ++run) {
-      daemon->Add({"e", run}, kIntervalFactor);
+      daemon->Add({.run = {"e", run}, .until_ms = heard_at_ms},
+                  kIntervalFactor);
     }
   }
   context.run_for(milliseconds(1'500));
--- a/tests/leaving_over_hops_test.cc
+++ b/tests/leaving_over_hops_test.cc
@@ -68,7 +68,7 @@
   });
   // The messages in which relays tell each other are lost.
   for (const auto& relay : network.relays) {
-    relay->state.SetLeavingNotifier([](const EndpointRunId&) {});
+    relay->state.leaving().SetNotifier([](const LeavingRun&) {});
   }
   network.SetLinks(0, LinkState::kRefusing);
   network.RunFor(milliseconds(100));
--- a/tests/peer_format_test.cc
+++ b/tests/peer_format_test.cc
@@ -44,7 +44,9 @@
   const std::string text = GENERATE(
       as<std::string>{}, R"({"ask":true})",
       R"({"fingerprint":"5e0c91","crashes":{"1f":250},"seen":10,"trials":0})",
-      R"({"leaving":[{"endpoint":"i-7f3a","start":1790000000000}]})");
+      R"({"leaving":[{"endpoint":"i-7f3a","start":1790000000000}]})",
+      R"({"leaving":[{"endpoint":"i-7f3a","start":1790000000000,)"
+      R"("until":1790000060000}]})");
   CAPTURE(text);
   const auto message = PeerMessage::Parse(text);
   REQUIRE(message.has_value());
--- a/tests/unlisted_sender_test.cc
+++ b/tests/unlisted_sender_test.cc
@@ -129,7 +129,7 @@
     relay.state.quarantine().OnCrash({trait}, "e", EndpointRun(run),
                                      relay.clock.Now());
   }
-  relay.state.OnLeaving({"e", 1}, LeavingSource::kResponse);
+  relay.state.leaving().OnStated({"e", 1}, LeavingSource::kReport);
   relay.state.OnStatedLimit("e", 1, relay.clock.Now(), relay.clock.Now());
   // News are told repeatedly for some seconds.
   context.restart();
