Bound the placeholders for tried endpoints, and let no id look like one

What callers could see: on a route with a very large MaxAttempts, a forwarded request would carry a placeholder for each endpoint that the route allows; a listed endpoint whose id begins with "?" would be taken for a placeholder, so that a request could not be tried there again.

Cause: the set for daemons of the version before was filled up to MaxAttempts, though all daemons together send a request at most kMaxSends times for each daemon that gets it; and nothing kept ids and placeholders apart.

Evidence: tried_endpoints_test "a bound that no request reaches costs no placeholders" (a million placeholders before); platform_codec_test rejects the id "?1". Read in the code, not seen in a run.

--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -40,8 +40,6 @@
 /// Pause between events of a stream that comes through another daemon after
 /// which further ones are tried; longer than those of a sound chain.
 inline constexpr std::chrono::milliseconds kMaxForwardSilence{1'000};
-/// Maximum number of times that a request is forwarded to another daemon.
-inline constexpr std::size_t kMaxForwards = 3;
 /// Part of the time left that is reserved for the way through another daemon.
 inline constexpr std::chrono::milliseconds kForwardTime{5};
 /// Maximum number of requests of other daemons at the same time; leaves most of
--- a/include/sycamoreford/relay/send_limits.h
+++ b/include/sycamoreford/relay/send_limits.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <random>
 
@@ -9,6 +10,8 @@
 
 /// Maximum number of times that one request is sent, whatever its route allows.
 inline constexpr int kMaxSends = 4;
+/// Maximum number of times that a request is forwarded to another daemon.
+inline constexpr std::size_t kMaxForwards = 3;
 /// Range of the retry-after time of a rejected request: about the time in which
 /// chains are repaired, with jitter so that callers do not retry all at once.
 inline constexpr std::chrono::milliseconds kMinRetryAfter{300};
--- a/include/sycamoreford/relay/tried_endpoints.h
+++ b/include/sycamoreford/relay/tried_endpoints.h
@@ -57,7 +57,8 @@
 
   /// What a daemon that a place is reserved for has to count as tried.
   /// Placeholders are added, so that a daemon that counts by the route alone
-  /// finds one endpoint left as well.
+  /// finds one endpoint left as well, unless the route allows more endpoints
+  /// than a request is sent to by all daemons together.
   [[nodiscard]] std::set<std::string> ForPeer(const Place& place) const;
 
   /// The tried endpoints, and placeholders that are no ids.
@@ -71,6 +72,9 @@
   /// Whether any endpoint is known by its id, so that it can be tried again.
   [[nodiscard]] bool HasNamed() const;
 
+  /// Whether this may be the id of an endpoint: it is no placeholder.
+  [[nodiscard]] static bool MayBeId(const std::string& text);
+
  private:
   std::size_t max_endpoints_;
   std::set<std::string> all_;
--- a/src/relay/tried_endpoints.cc
+++ b/src/relay/tried_endpoints.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sycamoreford/relay/send_limits.h"
+
 namespace sycamoreford {
 namespace {
 
@@ -10,6 +12,11 @@
 /// in messages.
 constexpr char kPlacePrefix = '?';
 
+/// Sends of a request by the daemon with the caller and by those that it is
+/// forwarded to.
+constexpr std::size_t kMaxSendsOfAll =
+    static_cast<std::size_t>(relay::kMaxSends) * (1 + relay::kMaxForwards);
+
 }  // namespace
 
 TriedEndpoints::TriedEndpoints(std::size_t max_endpoints,
@@ -50,17 +57,19 @@
   if (tried.erase(place) == 0) {
     return tried;
   }
-  for (std::size_t i = last_place_ + 1; tried.size() + 1 < max_endpoints_;
-       ++i) {
+  const std::size_t bound = std::min(max_endpoints_, kMaxSendsOfAll);
+  for (std::size_t i = last_place_ + 1; tried.size() + 1 < bound; ++i) {
     tried.insert(kPlacePrefix + std::to_string(i));
   }
   return tried;
 }
 
 bool TriedEndpoints::HasNamed() const {
-  return std::any_of(all_.begin(), all_.end(), [](const std::string& it) {
-    return it.front() != kPlacePrefix;
-  });
+  return std::any_of(all_.begin(), all_.end(), MayBeId);
+}
+
+bool TriedEndpoints::MayBeId(const std::string& text) {
+  return !text.starts_with(kPlacePrefix);
 }
 
 }  // namespace sycamoreford
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -210,8 +210,8 @@
     REQUIRE_FALSE(DecodeEndpoint("i-1", row).has_value());
   }
   SECTION("a row whose key is no id is rejected") {
-    const std::string id = GENERATE(as<std::string>{}, "", "i 1", "i-1\r\nA: b",
-                                    "i-1,i-2", "\xc3\xa9");
+    const std::string id = GENERATE(as<std::string>{}, "", "?1", "i 1",
+                                    "i-1\r\nA: b", "i-1,i-2", "\xc3\xa9");
     REQUIRE_FALSE(DecodeEndpoint(id, text).has_value());
   }
   SECTION("layers out of range are none") {
--- a/tests/tried_endpoints_test.cc
+++ b/tests/tried_endpoints_test.cc
@@ -74,6 +74,11 @@
   CHECK_FALSE(TriedEndpoints(1, {"a"}).AllowsFurther());
 }
 
+TEST_CASE("a bound that no request reaches costs no placeholders") {
+  TriedEndpoints tried(1'000'000);
+  CHECK(tried.ForPeer(tried.Reserve()).size() < 16);
+}
+
 TEST_CASE("no tree of daemons uses more endpoints than the route allows") {
   rc::check([] {
     const auto max_endpoints = *rc::gen::inRange<std::size_t>(1, 5);
