Try another daemon when a forwarded request is silent before its first event

What callers saw: callers of a daemon that is cut off waited until their deadline for a stream whose endpoint had fallen silent, while the endpoint and the daemon in between responded to everything else.

Cause: since the daemon with the caller alone bounds the endpoints of a request, the other daemon no longer tries further ones. The daemon with the caller did so only in pauses between events; before the first one it relied on the other daemon. And a peer that is not heard of was looked at only once a pause had begun.

Silence now interrupts a forwarded attempt from the time it is sent: after the route's target latency or 1 s, whichever is longer. It stays open; whichever response goes on first is kept, as for silent chains.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -197,6 +197,7 @@
                              .streams = context.route->streams,
                              .position = std::move(position),
                              .place = place},
+        std::max(context.route->target_latency, relay::kMaxForwardSilence),
         relay::kMaxPeerSilence);
   }
 
--- a/include/sycamoreford/adapters/peer_attempt.h
+++ b/include/sycamoreford/adapters/peer_attempt.h
@@ -9,15 +9,14 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "sycamoreford/adapters/relay_state.h"
-#include "sycamoreford/adapters/request_context.h"
 #include "sycamoreford/adapters/stream_attempt.h"
 
 namespace sycamoreford {
 
 /// A send of a request through another daemon, which forwards it to a chain.
-/// That daemon does not move a stream that has begun, so pauses between events
-/// interrupt it here. Silence ends the attempt only if it lasts and that daemon
-/// is not heard of.
+/// That daemon does not move the request to another endpoint, so silence
+/// interrupts it here. Silence ends the attempt only if it lasts and that
+/// daemon is not heard of.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
@@ -29,14 +28,20 @@
   /// before they are destroyed.
   ///
   /// \param options `address` is that of the other daemon.
+  /// \param silence time without any part of the response after which further
+  ///     daemons are tried.
+  /// \param max_silence silence after which the attempt ends if the other
+  ///     daemon is not heard of.
   PeerAttempt(RelayState& state,
               const TheClock& clock,
               const boost::asio::any_io_executor& executor,
               StreamAttemptOptions options,
+              std::chrono::milliseconds silence,
               std::chrono::milliseconds max_silence)
       : Base(clock, executor, options),
         state_(state),
         address_(std::move(options.address)),
+        silence_(silence),
         max_silence_(max_silence) {
     registration_ = state_.AddAttempt({.request_id = Base::request_id(),
                                        .peer = address_,
@@ -60,12 +65,13 @@
     state_.leaving().OnHead(Base::head(), address_, Base::request_id(),
                             LeavingSource::kForwardedResponse);
   }
-  void OnProgress(TimePoint now) override {
-    (*registration_)->next_interrupt_at =
-        has_events_ ? std::optional(now + relay::kMaxForwardSilence)
-                    : std::nullopt;
+  void OnSent() override { SetNextInterrupt(Base::clock().Now()); }
+  void OnProgress(TimePoint now) override { SetNextInterrupt(now); }
+  void SetNextInterrupt(TimePoint now) {
+    if (registration_) {
+      (*registration_)->next_interrupt_at = now + silence_;
+    }
   }
-  void OnEvents() override { has_events_ = true; }
   [[nodiscard]] bool HasDied(TimePoint now) const override {
     return Base::Silence(now) >= max_silence_ &&
            !state_.peers().IsHeard(address_, now);
@@ -83,8 +89,8 @@
 
   RelayState& state_;
   std::string address_;
+  std::chrono::milliseconds silence_;
   std::chrono::milliseconds max_silence_;
-  bool has_events_ = false;
   /// Empty when the attempt no longer counts as in flight.
   std::optional<std::list<ActiveAttempt>::iterator> registration_;
 };
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -37,8 +37,8 @@
 /// Silence of another daemon after which a request that was forwarded to it is
 /// given up if nothing else was heard of it either.
 inline constexpr std::chrono::milliseconds kMaxPeerSilence{1'000};
-/// Pause between events of a stream that comes through another daemon after
-/// which further ones are tried; longer than those of a sound chain.
+/// Silence of a response that comes through another daemon after which further
+/// ones are tried. A sound endpoint is silent for about a second.
 inline constexpr std::chrono::milliseconds kMaxForwardSilence{1'000};
 /// Part of the time left that is reserved for the way through another daemon.
 inline constexpr std::chrono::milliseconds kForwardTime{5};
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -368,9 +368,9 @@
 
 void RelayState::InterruptSilentAttempts(TimePoint now) {
   for (ActiveAttempt& attempt : attempts_) {
-    if (!attempt.peer.empty() && !attempt.next_interrupt_at &&
-        !peers_.IsHeard(attempt.peer, now)) {
-      attempt.next_interrupt_at = now;
+    if (!attempt.peer.empty() && !peers_.IsHeard(attempt.peer, now)) {
+      attempt.next_interrupt_at = std::min(
+          attempt.next_interrupt_at.value_or(now), now + kSilenceInterval);
     }
     if (attempt.next_interrupt_at && now >= *attempt.next_interrupt_at) {
       attempt.next_interrupt_at = now + kSilenceInterval;
