Put what requests through other daemons have in common into PeerForwarding

Both forwarders repeated how a failed send is recorded, and each marked its responses with the tried endpoints by itself; Respond does so for all that is sent back whole. NoteSent is the one place that records where a chain attempt has gone. No decision changes: max_attempts_test, max_attempts_links_test, relay_forward_test and leaving_response_test pass as before.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -11,7 +11,7 @@
 
 #include "sycamoreford/adapters/chain_attempt.h"
 #include "sycamoreford/adapters/peer_attempt.h"
-#include "sycamoreford/adapters/request_processor.h"
+#include "sycamoreford/adapters/peer_forwarding.h"
 #include "sycamoreford/adapters/stream_progress.h"
 #include "sycamoreford/relay/chain_admission.h"
 #include "sycamoreford/relay/event_splitter.h"
@@ -23,8 +23,8 @@
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
-class ChainAttemptOpener : protected RequestProcessor<Codec, TheClock> {
-  using Processor = RequestProcessor<Codec, TheClock>;
+class ChainAttemptOpener : protected PeerForwarding<Codec, TheClock> {
+  using Processor = PeerForwarding<Codec, TheClock>;
 
  protected:
   using Attempt = StreamAttempt<Codec, TheClock>;
--- a/include/sycamoreford/adapters/chain_failover.h
+++ b/include/sycamoreford/adapters/chain_failover.h
@@ -11,7 +11,7 @@
 #include "sycamoreford/adapters/abandon_guard.h"
 #include "sycamoreford/adapters/background_task.h"
 #include "sycamoreford/adapters/chain_attempt_opener.h"
-#include "sycamoreford/adapters/request_processor.h"
+#include "sycamoreford/adapters/peer_forwarding.h"
 #include "sycamoreford/adapters/wake_signal.h"
 
 namespace sycamoreford {
@@ -22,7 +22,7 @@
 template <RelayCodec Codec, Clock TheClock>
 class ChainFailover : protected ChainAttemptOpener<Codec, TheClock> {
   using Opener = ChainAttemptOpener<Codec, TheClock>;
-  using Processor = RequestProcessor<Codec, TheClock>;
+  using Processor = PeerForwarding<Codec, TheClock>;
 
  protected:
   using Opener::AreChainsFull;
@@ -110,6 +110,16 @@
     }
   }
 
+  /// Records the endpoint that an attempt has sent the request to, or what is
+  /// known of those that another daemon has.
+  static void NoteSent(RequestContext& context, const Attempt& attempt) {
+    if (attempt.is_forwarded()) {
+      NoteForwardedHead(context, attempt);
+    } else {
+      context.tried_endpoints.Add(attempt.destination());
+    }
+  }
+
   /// Called when an attempt has ended without a usable response.
   void OnAttemptFailed(RequestContext& context,
                        Attempt& attempt,
@@ -144,8 +154,7 @@
   using Processor::LogResponseLost;
   using Processor::NoteForwardedHead;
   using Processor::OnRefusedByPeer;
-  using Processor::RecordFailedForward;
-  using Processor::RecordFailedSend;
+  using Processor::RecordFailure;
 
   /// Whether an attempt is silent and its request may be sent elsewhere.
   bool MayTryOthers(RequestContext& context, const Attempt& attempt) const {
@@ -193,12 +202,11 @@
 
   /// Records a successor that is no longer needed.
   static void Drop(RequestContext& context, const Attempt& successor) {
-    NoteForwardedHead(context, successor);
-    if (!successor.was_sent()) {
+    if (successor.was_sent()) {
+      NoteSent(context, successor);
+    } else {
       --context.sends;
       context.tried_endpoints.Resolve(successor.place(), {});
-    } else if (!successor.is_forwarded()) {
-      context.tried_endpoints.Add(successor.destination());
     }
   }
 
@@ -210,11 +218,7 @@
       const HttpRequest& request,
       RequestContext& context,
       Attempt& attempt) {
-    if (attempt.is_forwarded()) {
-      NoteForwardedHead(context, attempt);
-    } else {
-      context.tried_endpoints.Add(attempt.destination());
-    }
+    NoteSent(context, attempt);
     // One of the two ends soon; only the successor counts as load until then.
     attempt.SuspendLoad();
     auto successor =
@@ -225,16 +229,6 @@
     return successor;
   }
 
-  void RecordFailure(RequestContext& context,
-                     AttemptStep step,
-                     const Attempt& attempt) {
-    if (attempt.is_forwarded()) {
-      RecordFailedForward(context, step, attempt, attempt.destination());
-    } else {
-      RecordFailedSend(context, step, attempt.destination());
-    }
-  }
-
   /// Logs what became of a request whose chain is suspected to be silent. A
   /// repeated reason not to try another chain is not logged again.
   void LogSilence(RequestContext& context,
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -12,7 +12,7 @@
 
 #include "sycamoreford/adapters/chain_failover.h"
 #include "sycamoreford/adapters/chain_queue.h"
-#include "sycamoreford/adapters/request_processor.h"
+#include "sycamoreford/adapters/peer_forwarding.h"
 #include "sycamoreford/adapters/stream_progress.h"
 
 namespace sycamoreford {
@@ -24,7 +24,7 @@
 template <RelayCodec Codec, Clock TheClock>
 class ChainForwarder : private ChainFailover<Codec, TheClock> {
   using Failover = ChainFailover<Codec, TheClock>;
-  using Processor = RequestProcessor<Codec, TheClock>;
+  using Processor = PeerForwarding<Codec, TheClock>;
   using typename Failover::RequestContext;
 
  public:
@@ -102,6 +102,7 @@
   using Failover::clock_;
   using Failover::Elapsed;
   using Failover::MayBeSent;
+  using Failover::NoteSent;
   using Failover::OnAttemptFailed;
   using Failover::OpenAttempt;
   using Failover::state_;
@@ -110,9 +111,11 @@
   using Failover::TryOthers;
   using Processor::FinalRefusal;
   using Processor::kNoRoom;
-  using Processor::MarkEndpoint;
+  using Processor::MarkLeaving;
+  using Processor::MarkTried;
   using Processor::RecordOutcome;
   using Processor::Refuse;
+  using Processor::Respond;
   using typename Failover::Attempt;
 
   /// Starts to send a request. Where requests of several ranks compete, it
@@ -175,8 +178,10 @@
       progress.has_begun = true;
       HttpResponse response = Codec::EncodeResponse(attempt.call().status(),
                                                     attempt.call().fields());
-      MarkEndpoint(context, attempt.destination(), attempt.head(), response);
-      context.has_named_endpoint = context.is_from_peer;
+      MarkLeaving(context, attempt.head(), response);
+      NoteSent(context, attempt);
+      MarkTried(context, response);
+      context.has_named_endpoints = context.is_from_peer;
       co_await exchange.BeginStream(std::move(response));
     }
   }
@@ -213,10 +218,11 @@
     }
     HttpResponse response =
         Codec::EncodeResponse(attempt.call().status(), attempt.call().fields());
-    MarkEndpoint(context, attempt.destination(), attempt.head(), response);
+    MarkLeaving(context, attempt.head(), response);
+    NoteSent(context, attempt);
     response.body = std::move(*body);
     RecordOutcome(context, is_failure ? "endpoint_failed" : "answered");
-    co_await exchange.Respond(std::move(response));
+    co_await Respond(exchange, context, std::move(response));
     co_return true;
   }
 
--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -141,7 +141,8 @@
     return response;
   }
 
-  [[nodiscard]] const std::string& endpoint() const noexcept {
+  /// Id of the endpoint, or the address of another daemon.
+  [[nodiscard]] const std::string& destination() const noexcept {
     return options_.endpoint;
   }
   /// The run that the request was sent to; empty if it was sent to another
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -16,8 +16,8 @@
 #include "sycamoreford/adapters/background_task.h"
 #include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/endpoint_attempt.h"
+#include "sycamoreford/adapters/peer_forwarding.h"
 #include "sycamoreford/adapters/pending_attempts.h"
-#include "sycamoreford/adapters/request_processor.h"
 
 namespace sycamoreford {
 
@@ -25,8 +25,8 @@
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
-class EndpointForwarder : private RequestProcessor<Codec, TheClock> {
-  using Processor = RequestProcessor<Codec, TheClock>;
+class EndpointForwarder : private PeerForwarding<Codec, TheClock> {
+  using Processor = PeerForwarding<Codec, TheClock>;
   using typename Processor::RequestContext;
 
  public:
@@ -52,14 +52,14 @@
       co_await ThrowIfCallerGone();
       auto response = TakeResponse(context, pending, error_response);
       if (response) {
-        co_await exchange.Respond(std::move(*response));
+        co_await Respond(exchange, context, std::move(*response));
         co_return;
       }
       ReportOverdue(context, pending);
     }
     if (error_response) {
       RecordOutcome(context, "endpoint_failed");
-      co_await exchange.Respond(std::move(*error_response));
+      co_await Respond(exchange, context, std::move(*error_response));
       co_return;
     }
     co_await Refuse(exchange, context, FinalRefusal(context));
@@ -75,17 +75,17 @@
   using Processor::FinalRefusal;
   using Processor::LogNotRun;
   using Processor::LogResponseLost;
-  using Processor::MarkEndpoint;
+  using Processor::MarkLeaving;
   using Processor::MayBeSent;
   using Processor::MayConnect;
   using Processor::MaySendTo;
   using Processor::OnClosed;
   using Processor::OnRefusedByPeer;
   using Processor::OnSentFor;
-  using Processor::RecordFailedForward;
-  using Processor::RecordFailedSend;
+  using Processor::RecordFailure;
   using Processor::RecordOutcome;
   using Processor::Refuse;
+  using Processor::Respond;
   using Processor::state_;
   using Processor::ThrowIfCallerGone;
   using Processor::TryAcquireSend;
@@ -261,9 +261,10 @@
   }
 
   /// The whole response of an attempt, for the caller or another daemon.
-  static HttpResponse ResponseOf(RequestContext& context, ToEndpoint& attempt) {
+  static HttpResponse ResponseOf(const RequestContext& context,
+                                 ToEndpoint& attempt) {
     HttpResponse response = attempt.TakeResponse();
-    MarkEndpoint(context, attempt.endpoint(), attempt.head(), response);
+    MarkLeaving(context, attempt.head(), response);
     return response;
   }
 
@@ -290,7 +291,7 @@
         OnAttemptFailed(context, *attempt, *step);
         continue;
       }
-      state_.directory().OnSuccess(attempt->endpoint());
+      state_.directory().OnSuccess(attempt->destination());
       if (!attempt->head().IsServerError()) {
         CrashWatchFor(context, *attempt).OnComplete(clock_.Now());
       }
@@ -317,7 +318,7 @@
     }
     if (attempt.has_begun() &&
         (attempt.head().IsTrusted() || attempt.head().is_not_run)) {
-      state_.OnStatedLimit(attempt.endpoint(), attempt.head().request_limit,
+      state_.OnStatedLimit(attempt.destination(), attempt.head().request_limit,
                            attempt.started_at(), clock_.Now());
     }
   }
@@ -326,29 +327,19 @@
   [[nodiscard]] CrashWatch CrashWatchFor(const RequestContext& context,
                                          const ToEndpoint& attempt) {
     return {
-        state_.quarantine(), context.traits, attempt.endpoint(),
+        state_.quarantine(), context.traits, attempt.destination(),
         attempt.run() ? QuarantineGuard::RunOf(*attempt.run()) : EndpointRun()};
   }
 
-  void RecordFailure(RequestContext& context,
-                     AttemptStep step,
-                     const ToEndpoint& attempt) {
-    if (attempt.is_forwarded()) {
-      RecordFailedForward(context, step, attempt, attempt.endpoint());
-    } else {
-      RecordFailedSend(context, step, attempt.endpoint());
-    }
-  }
-
   /// Called when a request was sent through another daemon in vain.
   void OnForwardFailed(RequestContext& context,
                        const ToEndpoint& attempt,
                        AttemptStep step) {
     if (step == AttemptStep::kNotRun) {
       OnRefusedByPeer(context, attempt.head());
-      LogNotRun(context, attempt.endpoint(), attempt.head());
+      LogNotRun(context, attempt.destination(), attempt.head());
     } else if (step != AttemptStep::kNotSent) {
-      LogResponseLost(context, attempt.endpoint(), attempt.failure(),
+      LogResponseLost(context, attempt.destination(), attempt.failure(),
                       attempt.has_begun());
     }
   }
@@ -362,16 +353,16 @@
       return;
     }
     if (step == AttemptStep::kWithheld) {
-      context.tried_endpoints.Remove(attempt.endpoint());
+      context.tried_endpoints.Remove(attempt.destination());
     } else if (step == AttemptStep::kNotSent) {
-      context.tried_endpoints.Remove(attempt.endpoint());
-      state_.OnUnreachable(attempt.endpoint(), clock_.Now());
-      state_.OnEndpointSuspected(attempt.endpoint(), "no_connection",
+      context.tried_endpoints.Remove(attempt.destination());
+      state_.OnUnreachable(attempt.destination(), clock_.Now());
+      state_.OnEndpointSuspected(attempt.destination(), "no_connection",
                                  clock_.Now());
     } else if (step == AttemptStep::kNotRun) {
-      LogNotRun(context, attempt.endpoint(), attempt.head());
+      LogNotRun(context, attempt.destination(), attempt.head());
     } else {
-      LogResponseLost(context, attempt.endpoint(), attempt.failure(),
+      LogResponseLost(context, attempt.destination(), attempt.failure(),
                       attempt.has_begun());
       // An endpoint that is leaving ends anyway.
       if (attempt.failure().code == Errc::kConnectionLost &&
--- a/include/sycamoreford/adapters/request_context.h
+++ b/include/sycamoreford/adapters/request_context.h
@@ -69,9 +69,9 @@
   int connect_failures = 0;
   /// Whether another daemon forwarded the request to this one.
   bool is_from_peer = false;
-  /// Whether that daemon has got the head of a stream, which names the only
-  /// endpoint that it may come from.
-  bool has_named_endpoint = false;
+  /// Whether that daemon has got the head of a stream, which names the
+  /// endpoints that were tried, so that no further ones may be.
+  bool has_named_endpoints = false;
   /// Number of times that the request was forwarded to another daemon.
   std::size_t forwards = 0;
   /// Daemons that the request was forwarded to, and those of them that did not
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -71,8 +71,7 @@
     if (context.is_from_peer && IsNotRun(refusal)) {
       Codec::MarkNotRun(response, refusal);
     }
-    MarkTried(context, response);
-    co_await exchange.Respond(std::move(response));
+    co_await Respond(exchange, context, std::move(response));
   }
 
   void LogRefusal(const RequestContext& context, Refusal refusal) const {
@@ -148,7 +147,7 @@
       context.last_denial = "runs_at_most_once";
     } else if (IsQuarantined(context)) {
       context.last_denial = "quarantined";
-    } else if (context.has_named_endpoint) {
+    } else if (context.has_named_endpoints) {
       context.last_denial = "resumed_by_peer";
     }
     return context.last_denial.empty();
@@ -178,15 +177,6 @@
     };
   }
 
-  /// Called when another daemon has refused a request.
-  void OnRefusedByPeer(const RequestContext& context,
-                       const ResponseHead& head) const {
-    if (head.is_backoff && head.retry_after) {
-      state_.peers().OnBackoff(context.service->name, *head.retry_after,
-                               clock_.Now());
-    }
-  }
-
   /// Whether this daemon's own endpoints may be tried.
   bool MayConnect(RequestContext& context) const {
     if (context.connect_failures >= relay::kMaxConnectFailures) {
@@ -196,83 +186,33 @@
     return true;
   }
 
-  /// Chooses another daemon for a request that this one cannot serve, and
-  /// counts the send.
-  ///
-  /// \returns its address, or nothing if the request may not be forwarded or no
-  ///     daemon is known to serve it.
-  std::optional<std::string> AcquirePeer(RequestContext& context) {
-    if (context.is_from_peer || context.forwards >= relay::kMaxForwards) {
-      return std::nullopt;
-    }
-    const auto pick = [&](const std::set<std::string>& excluded) {
-      return state_.peers().Pick(context.service->name, excluded, clock_.Now());
-    };
-    auto peer = pick(context.tried_peers);
-    if (!peer) {
-      peer = pick(context.failed_peers);
-    }
-    if (peer) {
-      ++context.forwards;
-      context.tried_peers.insert(*peer);
-      LogEvent(Severity::kInfo, "forwarded")
-          .With("request", context.request.id)
-          .With("peer", *peer)
-          .With("sends", context.sends)
-          .With("after_ms", Elapsed(context));
-      state_.metrics().OnForwarded(context.service->name);
-      ++context.sends;
-    }
-    return peer;
-  }
-
-  /// Encodes a request for another daemon.
-  ///
-  /// \param place place of the endpoint that the other daemon chooses.
-  /// \param last_event_id event after which a stream is resumed; empty for
-  ///     the one that the caller named, if any.
-  /// Precondition: `AcquirePeer` has returned that daemon.
-  [[nodiscard]] HttpRequest EncodeForPeer(const HttpRequest& request,
-                                          const RequestContext& context,
-                                          const TriedEndpoints::Place& place,
-                                          std::string last_event_id) const {
-    PeerForward forward;
-    // The other daemon counts its own sends, and only those before this one
-    // make them retries.
-    forward.sends = context.sends - 1;
-    forward.tried_endpoints = context.tried_endpoints.ForPeer(place);
-    forward.revision = context.manifest->revision();
-    forward.time_left =
-        std::max(context.TimeLeft(clock_.Now()) - relay::kForwardTime,
-                 std::chrono::milliseconds(0));
-    forward.last_event_id = std::move(last_event_id);
-    return Codec::EncodeForPeer(request, forward);
-  }
-
   /// Tells the daemon that forwarded a request, if one did, which endpoints it
-  /// was sent to.
+  /// was sent to. No further ones may be tried after that.
   static void MarkTried(const RequestContext& context, HttpResponse& response) {
     if (context.is_from_peer && !context.tried_endpoints.own().empty()) {
       Codec::MarkTried(response, context.tried_endpoints.own());
     }
   }
 
-  /// Tells the daemon that forwarded a request, if one did, what it has to know
-  /// of the endpoint with this response.
-  static void MarkEndpoint(RequestContext& context,
-                           const std::string& endpoint,
-                           const ResponseHead& head,
-                           HttpResponse& response) {
-    if (!context.is_from_peer) {
-      return;
-    }
-    context.tried_endpoints.Add(endpoint);
-    MarkTried(context, response);
-    if (head.leaving_run) {
+  /// Tells the daemon that forwarded a request, if one did, that the endpoint
+  /// with this response is leaving.
+  static void MarkLeaving(const RequestContext& context,
+                          const ResponseHead& head,
+                          HttpResponse& response) {
+    if (context.is_from_peer && head.leaving_run) {
       Codec::MarkLeaving(response, *head.leaving_run);
     }
   }
 
+  /// Sends a whole response to the caller or to the daemon that forwarded the
+  /// request.
+  static boost::asio::awaitable<void> Respond(HttpExchange& exchange,
+                                              const RequestContext& context,
+                                              HttpResponse response) {
+    MarkTried(context, response);
+    co_await exchange.Respond(std::move(response));
+  }
+
   /// Counts a send. If the request was sent before, acquires a retry from the
   /// retry budget.
   ///
@@ -320,48 +260,6 @@
     context.may_have_run = context.may_have_run || step != AttemptStep::kNotRun;
   }
 
-  /// Records which endpoints another daemon has sent a request to, if the head
-  /// of its response has arrived and names them.
-  template <class Attempt>
-  static void NoteForwardedHead(RequestContext& context,
-                                const Attempt& attempt) {
-    if (attempt.is_forwarded() && attempt.has_begun() &&
-        attempt.head().tried_endpoints) {
-      context.tried_endpoints.Resolve(attempt.place(),
-                                      *attempt.head().tried_endpoints);
-    }
-  }
-
-  /// Records a send through another daemon after which the caller has no
-  /// complete response. If that daemon has named no endpoint, its place stays
-  /// reserved: one may run the request.
-  ///
-  /// \param peer the other daemon.
-  template <class Attempt>
-  void RecordFailedForward(RequestContext& context,
-                           AttemptStep step,
-                           const Attempt& attempt,
-                           const std::string& peer) {
-    NoteForwardedHead(context, attempt);
-    const bool names_endpoint =
-        attempt.has_begun() && attempt.head().tried_endpoints;
-    // Daemons of the version before name no endpoint.
-    const bool passes_on = attempt.has_begun() && attempt.head().IsTrusted() &&
-                           !attempt.head().is_not_run;
-    if (!names_endpoint && !passes_on) {
-      context.failed_peers.insert(peer);
-      state_.peers().OnRefused(peer, clock_.Now());
-    }
-    if (step != AttemptStep::kNotSent && step != AttemptStep::kNotRun) {
-      context.may_have_run = true;
-      return;
-    }
-    if (!names_endpoint) {
-      --context.sends;
-      context.tried_endpoints.Resolve(attempt.place(), {});
-    }
-  }
-
   /// Throws if the caller has disconnected, since the cancelled call would
   /// otherwise be regarded as a failure of the endpoint.
   static boost::asio::awaitable<void> ThrowIfCallerGone() {
