Let the property of tried endpoints fail its test

The result of rc::check was dropped, so the test "no tree of daemons uses more endpoints than the route allows" could not fail. It is required now.

--- a/tests/tried_endpoints_test.cc
+++ b/tests/tried_endpoints_test.cc
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("no tree of daemons uses more endpoints than the route allows") {
-  rc::check([] {
+  REQUIRE(rc::check([] {
     const auto max_endpoints = *rc::gen::inRange<std::size_t>(1, 5);
     TriedEndpoints tried(max_endpoints);
     Ids used;
@@ -121,7 +121,7 @@
       }
     }
     RC_ASSERT(used.size() <= max_endpoints);
-  });
+  }));
 }
 
 }  // namespace
