--- a/src/fleet/fleet_accelerators.cc
+++ b/src/fleet/fleet_accelerators.cc
@@ -1,6 +1,16 @@
 #include "sycamoreford/fleet/fleet_accelerators.h"
 
 namespace sycamoreford {
+namespace {
+
+/// The layers that an endpoint is listed with; none if the model has no such
+/// layers.
+LayerRange KnownLayers(const EndpointRecord& record,
+                       const EngineProfile& engine) {
+  return record.layers.end <= engine.layers ? record.layers : LayerRange{};
+}
+
+}  // namespace
 
 std::vector<Accelerator> AcceleratorsOf(const EndpointDirectory& directory,
                                         const RelayService& service,
@@ -21,7 +31,7 @@
                             .address = record.address,
                             .data_centre = record.data_centre,
                             .kind = kind->second,
-                            .layers = record.layers});
+                            .layers = KnownLayers(record, *service.engine)});
     accelerators.back().kind.decode_factor *= known.slowness;
     accelerators.back().kind.prefill_factor *= known.slowness;
     accelerators.back().slowness = known.slowness;
