Leave out the endpoint that another daemon may have chosen already

What callers saw: a request of a daemon that is cut off, silent behind another daemon before its head, was sent through a second daemon to the same silent endpoint. Both places of the bound were then taken by one endpoint, and the caller got nothing.

Cause: the endpoint of a forwarded request is named by the head of its response; until then nobody knows it, and daemons with the same view choose the same one.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -115,6 +115,7 @@
   using Processor::MaySendTo;
   using Processor::OnClosed;
   using Processor::OnSentFor;
+  using Processor::PickUnlikeOthers;
   using Processor::TryAcquireSend;
 
   /// Whether the request may not be sent to further endpoints.
@@ -216,8 +217,12 @@
     }
     const double tokens = ExpectedTokens(context);
     const TimePoint now = clock_.Now();
-    const ServingChain* chain =
-        PickChain(context, state_.gate().Closed(now), reserved_share, now);
+    const ServingChain* chain = PickUnlikeOthers(
+        context, state_.gate().Closed(now),
+        [&](const std::set<std::string>& excluded) {
+          return PickChain(context, excluded, reserved_share, now);
+        },
+        [](const ServingChain& it) { return it.first_endpoint(); });
     if (chain == nullptr) {
       if (PickChain(context, {}, reserved_share, now) != nullptr) {
         OnClosed(context);
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -82,6 +82,7 @@
   using Processor::OnClosed;
   using Processor::OnRefusedByPeer;
   using Processor::OnSentFor;
+  using Processor::PickUnlikeOthers;
   using Processor::RecordFailure;
   using Processor::RecordOutcome;
   using Processor::Refuse;
@@ -215,7 +216,11 @@
     const std::set<std::string>& tried = context.tried_endpoints.all();
     excluded.insert(tried.begin(), tried.end());
     const KnownEndpoint* endpoint =
-        MayConnect(context) ? pick(excluded) : nullptr;
+        MayConnect(context)
+            ? PickUnlikeOthers(
+                  context, std::move(excluded), pick,
+                  [](const KnownEndpoint& it) { return it.record.id; })
+            : nullptr;
     if (endpoint == nullptr) {
       if (context.last_denial.empty() && pick(tried) != nullptr) {
         OnClosed(context);
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -186,6 +188,31 @@
     return true;
   }
 
+  /// Chooses an endpoint, or what begins with one. The best choices are left to
+  /// daemons that may have made them already and have not named them yet.
+  ///
+  /// \param pick returns the best choice that is not among the excluded
+  ///     endpoints, or null.
+  /// \param id_of returns the id of the endpoint of a choice.
+  template <class Pick, class IdOf>
+  [[nodiscard]] static auto PickUnlikeOthers(const RequestContext& context,
+                                             std::set<std::string> excluded,
+                                             const Pick& pick,
+                                             const IdOf& id_of) {
+    const std::set<std::string>& tried = context.tried_endpoints.all();
+    auto choice = pick(excluded);
+    std::size_t taken = context.tried_endpoints.CountUnnamed();
+    for (; taken > 0 && choice != nullptr; --taken) {
+      excluded.insert(id_of(*choice));
+      const auto next = pick(excluded);
+      if (next == nullptr || tried.contains(id_of(*next))) {
+        break;
+      }
+      choice = next;
+    }
+    return choice;
+  }
+
   /// Tells the daemon that forwarded a request, if one did, which endpoints it
   /// was sent to. No further ones may be tried after that.
   static void MarkTried(const RequestContext& context, HttpResponse& response) {
--- a/include/sycamoreford/relay/tried_endpoints.h
+++ b/include/sycamoreford/relay/tried_endpoints.h
@@ -72,6 +72,11 @@
   /// Whether any endpoint is known by its id, so that it can be tried again.
   [[nodiscard]] bool HasNamed() const;
 
+  /// Number of endpoints that the request may have been sent to through other
+  /// daemons that have not named them yet, as told by the daemon that forwarded
+  /// it.
+  [[nodiscard]] std::size_t CountUnnamed() const;
+
   /// Whether this may be the id of an endpoint: it is no placeholder.
   [[nodiscard]] static bool MayBeId(const std::string& text);
 
--- a/src/relay/tried_endpoints.cc
+++ b/src/relay/tried_endpoints.cc
@@ -11,6 +11,8 @@
 /// No id of an endpoint begins like this; it has no space, which separates ids
 /// in messages.
 constexpr char kPlacePrefix = '?';
+/// Of placeholders for what other daemons may not use.
+constexpr const char* kReservePrefix = "?-";
 
 /// Sends of a request by the daemon with the caller and by those that it is
 /// forwarded to.
@@ -58,8 +60,8 @@
     return tried;
   }
   const std::size_t bound = std::min(max_endpoints_, kMaxSendsOfAll);
-  for (std::size_t i = last_place_ + 1; tried.size() + 1 < bound; ++i) {
-    tried.insert(kPlacePrefix + std::to_string(i));
+  for (std::size_t i = 1; tried.size() + 1 < bound; ++i) {
+    tried.insert(kReservePrefix + std::to_string(i));
   }
   return tried;
 }
@@ -68,6 +70,13 @@
   return std::any_of(all_.begin(), all_.end(), MayBeId);
 }
 
+std::size_t TriedEndpoints::CountUnnamed() const {
+  return static_cast<std::size_t>(
+      std::count_if(others_.begin(), others_.end(), [](const std::string& it) {
+        return !MayBeId(it) && !it.starts_with(kReservePrefix);
+      }));
+}
+
 bool TriedEndpoints::MayBeId(const std::string& text) {
   return !text.starts_with(kPlacePrefix);
 }
--- a/tests/tried_endpoints_test.cc
+++ b/tests/tried_endpoints_test.cc
@@ -74,6 +74,17 @@
   CHECK_FALSE(TriedEndpoints(1, {"a"}).AllowsFurther());
 }
 
+TEST_CASE("a daemon that was forwarded to knows how many are not named yet") {
+  TriedEndpoints tried(4);
+  const auto first = tried.Reserve();
+  CHECK(TriedEndpoints(4, tried.ForPeer(first)).CountUnnamed() == 0);
+  const auto second = tried.Reserve();
+  CHECK(TriedEndpoints(4, tried.ForPeer(second)).CountUnnamed() == 1);
+  tried.Resolve(first, {"a"});
+  CHECK(TriedEndpoints(4, tried.ForPeer(second)).CountUnnamed() == 0);
+  CHECK(tried.CountUnnamed() == 0);
+}
+
 TEST_CASE("a bound that no request reaches costs no placeholders") {
   TriedEndpoints tried(1'000'000);
   CHECK(tried.ForPeer(tried.Reserve()).size() < 16);
