--- a/src/relay/tried_endpoints.cc
+++ b/src/relay/tried_endpoints.cc
@@ -11,8 +11,8 @@
 /// No id of an endpoint begins like this; it has no space, which separates ids
 /// in messages.
 constexpr char kPlacePrefix = '?';
-/// Of placeholders for what other daemons may not use.
-constexpr const char* kReservePrefix = "?-";
+/// Of placeholders that stand for no endpoint and fill the set up.
+constexpr const char* kFillerPrefix = "?-";
 
 /// Sends of a request by the daemon with the caller and by those that it is
 /// forwarded to.
@@ -61,7 +61,7 @@
   }
   const std::size_t bound = std::min(max_endpoints_, kMaxSendsOfAll);
   for (std::size_t i = 1; tried.size() + 1 < bound; ++i) {
-    tried.insert(kReservePrefix + std::to_string(i));
+    tried.insert(kFillerPrefix + std::to_string(i));
   }
   return tried;
 }
@@ -73,7 +73,7 @@
 std::size_t TriedEndpoints::CountUnnamed() const {
   return static_cast<std::size_t>(
       std::count_if(others_.begin(), others_.end(), [](const std::string& it) {
-        return !MayBeId(it) && !it.starts_with(kReservePrefix);
+        return !MayBeId(it) && !it.starts_with(kFillerPrefix);
       }));
 }
 
