Bound the memory that a daemon holds for bytes of others

Callers of a daemon lost their requests when the daemon ended: a faulty endpoint that sends without end made it keep up to 4 MB for each of its requests, and callers that send long bodies slowly up to the largest body each. Nothing bounded the sum. One response whose declared length is of the order of exabytes ended the daemon at once: the parser reserved that length, and the exception left the event loop.

MemoryBudget counts what is read of requests, responses and control calls where it is held. When a share is used up, the sender that holds most loses its largest hold; what is complete is never lost. A response that is lost counts as a bad answer whose outcome is unknown, a request as not run (503 with Retry-After). The body of a response grows with what arrives.

--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -10,6 +10,7 @@
 
 #include "sycamoreford/adapters/http_message.h"
 #include "sycamoreford/core/failure.h"
+#include "sycamoreford/core/memory_budget.h"
 
 namespace sycamoreford {
 
@@ -23,7 +24,12 @@
 class HttpCall {
  public:
   /// Creates a call that is not started yet.
-  explicit HttpCall(const boost::asio::any_io_executor& executor);
+  ///
+  /// \param kind what the received bytes are for; they count in the budget of
+  ///     the process. Without room for them the call fails with
+  ///     `kBadEndpointAnswer` and its connection is closed.
+  explicit HttpCall(const boost::asio::any_io_executor& executor,
+                    HeldKind kind = HeldKind::kResponse);
 
   /// Connects, sends the request and receives the response header. The response
   /// may be accessed once this has returned without a failure.
@@ -94,7 +100,8 @@
       const std::string& address,
       const HttpRequest& request,
       std::chrono::milliseconds connect_timeout,
-      std::chrono::milliseconds header_timeout);
+      std::chrono::milliseconds header_timeout,
+      HeldKind kind = HeldKind::kResponse);
 
   HttpCall(HttpCall&&) noexcept;
   HttpCall& operator=(HttpCall&&) noexcept;
@@ -105,6 +112,13 @@
   [[nodiscard]] unsigned status() const noexcept;
   [[nodiscard]] const HttpFields& fields() const noexcept;
 
+  /// Counts received bytes that the user of the call keeps, until this is
+  /// called again or the call is destroyed.
+  ///
+  /// \returns false if there is no room for them; the connection is closed.
+  /// Precondition: `Send` has returned without a failure.
+  [[nodiscard]] bool Retain(std::size_t bytes);
+
   /// Reads the next bytes of the body.
   ///
   /// \param timeout maximum time; `kNoTimeout` for no limit. If it is 0,
@@ -131,7 +145,8 @@
 
 /// Sends a request and reads the whole response, all within `timeout`.
 ///
-/// \param max_bytes maximum size of the body.
+/// \param max_bytes maximum size of the body. It counts as needed by the
+///     process itself.
 /// \returns the response. Errors as for `HttpCall::Open` and
 ///     `HttpCall::ReadAll`.
 [[nodiscard]] boost::asio::awaitable<Result<HttpResponse>> FetchHttp(
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -95,7 +95,8 @@
         OnEvents();
         co_return AttemptStep::kEvents;
       }
-      if (options_.position.is_too_long()) {
+      if (options_.position.is_too_long() ||
+          !call_.Retain(options_.position.capacity())) {
         call_.Abort();
         failure_ = {.code = Errc::kBadEndpointAnswer,
                     .outcome = Outcome::kUnknown,
--- a/include/sycamoreford/relay/event_splitter.h
+++ b/include/sycamoreford/relay/event_splitter.h
@@ -44,6 +44,11 @@
     return buffer_.size() - consumed_ > kMaxEventBytes;
   }
 
+  /// Memory that it uses, in bytes.
+  [[nodiscard]] std::size_t capacity() const noexcept {
+    return buffer_.capacity() + complete_events_.capacity();
+  }
+
   /// Discards the incomplete event, because another endpoint continues the
   /// stream. Events with ids up to `last_id` that it sends again are dropped.
   void Restart();
--- a/include/sycamoreford/settings/settings.h
+++ b/include/sycamoreford/settings/settings.h
@@ -42,6 +42,8 @@
     std::uint32_t body_bytes = 1024 * 1024;
     std::uint32_t attempts = 6;
     std::uint32_t default_max_tokens = 256;
+    /// Memory for requests and responses that are held.
+    std::uint32_t memory_budget_mb = 40;
     std::uint32_t metrics_series = 1024;
     std::chrono::milliseconds request_timeout{120'000};
     std::chrono::milliseconds idle_timeout{75'000};
--- a/src/adapters/entry_daemon.cc
+++ b/src/adapters/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "sycamoreford/adapters/operator_server.h"
 #include "sycamoreford/adapters/order_service.h"
 #include "sycamoreford/core/log.h"
+#include "sycamoreford/core/memory_budget.h"
 #include "sycamoreford/drain/drain_machine.h"
 
 namespace sycamoreford {
@@ -71,6 +72,9 @@
         drain_strand(asio::make_strand(context)),
         drain({.notice_period = entry.settings.limits.drain_notice,
                .finish_timeout = entry.settings.limits.drain_timeout}) {
+    constexpr std::size_t kBytesPerMb = 1024UL * 1024;
+    MemoryBudget::OfProcess().SetLimit(entry.settings.limits.memory_budget_mb *
+                                       kBytesPerMb);
     entry.drain_hooks.push_back(
         {"leases", [this] { return order_service.Release(); }});
     entry.drain_hooks.push_back(
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -107,15 +107,16 @@
 HttpCall& HttpCall::operator=(HttpCall&&) noexcept = default;
 HttpCall::~HttpCall() = default;
 
-HttpCall::HttpCall(const asio::any_io_executor& executor)
-    : state_(std::make_unique<State>(executor)) {}
+HttpCall::HttpCall(const asio::any_io_executor& executor, HeldKind kind)
+    : state_(std::make_unique<State>(executor, kind)) {}
 
 asio::awaitable<Result<HttpCall>> HttpCall::Open(
     const std::string& address,
     const HttpRequest& request,
     std::chrono::milliseconds connect_timeout,
-    std::chrono::milliseconds header_timeout) {
-  HttpCall call(co_await asio::this_coro::executor);
+    std::chrono::milliseconds header_timeout,
+    HeldKind kind) {
+  HttpCall call(co_await asio::this_coro::executor, kind);
   auto failure =
       co_await call.Start(address, request, connect_timeout, header_timeout);
   if (failure) {
@@ -175,6 +176,7 @@
   if (error) {
     co_return ExchangeFailure(error, address);
   }
+  state_->StartHold();
   state_->is_head_request = request.method == "HEAD";
   state_->StartHead();
   co_return std::nullopt;
@@ -243,9 +245,14 @@
   return state_->fields;
 }
 
+bool HttpCall::Retain(std::size_t bytes) {
+  state_->retained_bytes = bytes;
+  return state_->Count();
+}
+
 asio::awaitable<Result<std::optional<std::string>>> HttpCall::ReadSome(
     std::chrono::milliseconds timeout) {
-  std::string& body = state_->parser->get().body();
+  beast::flat_buffer& body = state_->parser->get().body();
   // Bytes that are there already would arrive before the timeout takes effect.
   if (timeout == std::chrono::milliseconds(0)) {
     state_->was_interrupted = false;
@@ -256,7 +263,7 @@
   } else {
     state_->stream.expires_after(timeout);
   }
-  while (body.empty() && !state_->parser->is_done()) {
+  while (body.size() == 0 && !state_->parser->is_done()) {
     const beast::error_code error =
         co_await state_->RunRead([this](auto token) {
           return http::async_read_some(state_->stream, state_->buffer,
@@ -266,11 +273,11 @@
       co_return ExchangeFailure(error, "body");
     }
   }
-  if (body.empty()) {
+  if (body.size() == 0) {
     co_return std::optional<std::string>();
   }
-  std::string bytes;
-  bytes.swap(body);
+  std::string bytes(static_cast<const char*>(body.data().data()), body.size());
+  body.consume(body.size());
   co_return std::optional<std::string>(std::move(bytes));
 }
 
@@ -279,6 +286,13 @@
     std::chrono::milliseconds timeout) {
   std::string body;
   const auto deadline = std::chrono::steady_clock::now() + timeout;
+  const Failure too_long = {.code = Errc::kBadEndpointAnswer,
+                            .outcome = Outcome::kUnknown,
+                            .where = "body"};
+  if (state_->parser->content_length().value_or(0) > max_bytes) {
+    state_->stream.close();
+    co_return too_long;
+  }
   for (;;) {
     auto bytes = co_await ReadSome(TimeUntil(deadline));
     if (!bytes && was_interrupted()) {
@@ -291,10 +305,9 @@
       co_return body;
     }
     body += **bytes;
-    if (body.size() > max_bytes) {
-      co_return Failure{.code = Errc::kBadEndpointAnswer,
-                        .outcome = Outcome::kUnknown,
-                        .where = "body"};
+    if (body.size() > max_bytes || !Retain(body.capacity())) {
+      state_->stream.close();
+      co_return too_long;
     }
   }
 }
@@ -305,8 +318,9 @@
     std::chrono::milliseconds timeout,
     std::size_t max_bytes) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
-  auto call = co_await HttpCall::Open(
-      address, request, std::min(timeout, kConnectTimeout), timeout);
+  auto call = co_await HttpCall::Open(address, request,
+                                      std::min(timeout, kConnectTimeout),
+                                      timeout, HeldKind::kControl);
   if (!call) {
     co_return call.error();
   }
--- a/src/adapters/http_engine_client.cc
+++ b/src/adapters/http_engine_client.cc
@@ -146,7 +146,7 @@
       buffer_.erase(0, end + 1);
       co_return ParseLine(line, address_);
     }
-    if (buffer_.size() > kMaxLineBytes) {
+    if (buffer_.size() > kMaxLineBytes || !call_.Retain(buffer_.capacity())) {
       co_return Failure{.code = Errc::kBadEndpointAnswer,
                         .outcome = Outcome::kUnknown,
                         .where = address_};
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -113,7 +113,7 @@
 constexpr std::chrono::milliseconds kLingerTimeout{1'000};
 constexpr std::chrono::seconds kOverloadRetryAfter{1};
 
-HttpRequest ToRequest(const http::request<http::string_body>& message) {
+HttpRequest ToRequest(http::request<http::string_body> message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -121,7 +121,7 @@
     request.fields.Add(std::string(field.name_string()),
                        std::string(field.value()));
   }
-  request.body = message.body();
+  request.body = std::move(message.body());
   return request;
 }
 
@@ -261,7 +261,28 @@
   socket.close(error);
 }
 
-/// Reads one request and sends the error response if it is invalid.
+HttpResponse NoRoomResponse() {
+  HttpResponse response = ErrorResponse(503, Errc::kOverloaded);
+  response.fields.Add("retry-after",
+                      std::to_string(kOverloadRetryAfter.count()));
+  return response;
+}
+
+/// Reads the body of a request, counting what it holds.
+asio::awaitable<beast::error_code> ReadBody(
+    Connection& connection,
+    http::request_parser<http::string_body>& parser) {
+  beast::error_code error;
+  while (!error && !parser.is_done() &&
+         connection.Count(parser.get().body().capacity())) {
+    co_await http::async_read_some(connection.stream, connection.buffer, parser,
+                                   asio::redirect_error(use_awaitable, error));
+  }
+  co_return error;
+}
+
+/// Reads one request and sends the error response if it is invalid or there is
+/// no room for it.
 ///
 /// \returns the request; empty if it is invalid or the connection ended.
 template <class State>
@@ -278,6 +299,7 @@
   stream.expires_never();
   connection.timed_out = false;
   connection.SetReadTimeout(limits.header_timeout);
+  connection.StartHold();
   co_await http::async_read_header(stream, connection.buffer, parser, token);
   if (!error && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -286,7 +308,7 @@
       co_await http::async_write(stream, continue_response, token);
     }
     connection.SetReadTimeout(limits.body_timeout);
-    co_await http::async_read(stream, connection.buffer, parser, token);
+    error = co_await ReadBody(connection, parser);
   }
   connection.ClearReadTimeout();
   if (error && connection.timed_out) {
@@ -296,10 +318,15 @@
       parser.get().find(http::field::host) == parser.get().end()) {
     error = http::error::bad_field;
   }
-  if (!error) {
+  if (!error && connection.Count(parser.get().body().capacity())) {
+    connection.KeepHold(parser.get().body().capacity());
     co_return parser.release();
   }
-  if (error != http::error::end_of_stream) {
+  if (connection.is_out_of_memory) {
+    BeastExchange exchange(stream, {}, {}, false, state->keep_alive_disabled,
+                           kHttp11, limits.write_timeout);
+    co_await exchange.Respond(NoRoomResponse());
+  } else if (error != http::error::end_of_stream) {
     BeastExchange exchange(stream, {}, {}, false, state->keep_alive_disabled,
                            kHttp11, limits.write_timeout);
     co_await exchange.Respond(InputErrorResponse(error));
@@ -335,14 +362,18 @@
   ++state->active_requests;
   const std::shared_ptr<void> decrement_on_exit(
       nullptr, [state](void*) { --state->active_requests; });
+  const std::shared_ptr<void> release_on_exit(
+      nullptr, [&connection](void*) { connection.hold.reset(); });
   auto message = co_await ReadRequest(state, connection);
   if (!message) {
     co_return false;
   }
-  BeastExchange exchange(connection.stream, ToRequest(*message),
+  const bool keep_alive = message->keep_alive();
+  const unsigned version = message->version();
+  BeastExchange exchange(connection.stream, ToRequest(std::move(*message)),
                          TimeSinceLastBytes(connection.stream.socket()),
-                         message->keep_alive(), state->keep_alive_disabled,
-                         message->version(), state->limits.write_timeout);
+                         keep_alive, state->keep_alive_disabled, version,
+                         state->limits.write_timeout);
   connection.exchange = &exchange;
   const std::shared_ptr<void> reset_on_exit(
       nullptr, [&connection](void*) { connection.exchange = nullptr; });
@@ -360,10 +391,7 @@
   BeastExchange exchange(connection.stream, {}, {}, false,
                          state->keep_alive_disabled, kHttp11,
                          state->limits.write_timeout);
-  HttpResponse response = ErrorResponse(503, Errc::kOverloaded);
-  response.fields.Add("retry-after",
-                      std::to_string(kOverloadRetryAfter.count()));
-  co_await exchange.Respond(std::move(response));
+  co_await exchange.Respond(NoRoomResponse());
 }
 
 /// Serves requests until the connection is to be closed.
--- a/src/adapters/service_handler.cc
+++ b/src/adapters/service_handler.cc
@@ -136,7 +136,8 @@
       co_return response;
     }
     response.body += **bytes;
-    if (response.body.size() > kMaxResponseBytes || left.count() <= 0) {
+    if (response.body.size() > kMaxResponseBytes || left.count() <= 0 ||
+        !opened->Retain(response.body.capacity())) {
       co_return Failure{.code = left.count() <= 0 ? Errc::kDeadlineExceeded
                                                   : Errc::kBadEndpointAnswer,
                         .outcome = Outcome::kUnknown,
--- a/src/impl/beast_exchange.h
+++ b/src/impl/beast_exchange.h
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "sycamoreford/adapters/http_server.h"
+#include "sycamoreford/core/memory_hold.h"
 
 namespace sycamoreford::impl {
 
@@ -67,6 +68,9 @@
         static_cast<boost::beast::http::status>(response.status), version_);
     SetFields(message, response);
     message.body() = std::move(response.body);
+    // A client that reads slowly keeps it here.
+    MemoryHold hold(MemoryBudget::OfProcess(), HeldKind::kResponse, "");
+    (void)hold.Resize(message.body().capacity());
     message.prepare_payload();
     response_started_ = true;
     stream_.expires_after(write_timeout_);
--- a/src/impl/http_call_state.h
+++ b/src/impl/http_call_state.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -11,6 +14,7 @@
 
 #include "sycamoreford/adapters/http_client.h"
 #include "sycamoreford/core/log.h"
+#include "sycamoreford/core/memory_hold.h"
 
 namespace sycamoreford {
 
@@ -21,11 +25,36 @@
 
 /// The connection of a call and what it has received.
 struct HttpCall::State {
-  explicit State(const boost::asio::any_io_executor& executor)
-      : stream(executor) {
+  State(const boost::asio::any_io_executor& executor, HeldKind kind)
+      : stream(executor), kind(kind) {
     StartHead();
   }
 
+  /// Counts what is received from now on as sent by `address`.
+  void StartHold() {
+    const auto close = [executor = stream.get_executor(),
+                        weak = std::weak_ptr<State*>(self)] {
+      boost::asio::post(executor, [weak] {
+        if (const auto state = weak.lock()) {
+          (*state)->stream.close();
+        }
+      });
+    };
+    hold.emplace(MemoryBudget::OfProcess(), kind, address, close);
+  }
+
+  /// Counts what is held; closes the connection if there is no room for it.
+  [[nodiscard]] bool Count() {
+    const std::size_t body =
+        parser->is_header_done() ? parser->get().body().capacity() : 0;
+    const bool has_room =
+        hold->Resize(buffer.capacity() + body + retained_bytes);
+    if (!has_room) {
+      stream.close();
+    }
+    return has_room;
+  }
+
   /// Expects the head of a response next.
   void StartHead() {
     parser.emplace();
@@ -55,9 +84,17 @@
 
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer{kMaxBufferBytes};
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
+  /// Its body grows with what arrives; a string would reserve whatever length
+  /// the other end states.
+  std::optional<boost::beast::http::response_parser<
+      boost::beast::http::basic_dynamic_body<boost::beast::flat_buffer>>>
       parser;
+  HeldKind kind;
+  /// Set when the request is sent.
+  std::optional<MemoryHold> hold;
+  /// Received bytes that the user of the call keeps.
+  std::size_t retained_bytes = 0;
+  std::shared_ptr<State*> self = std::make_shared<State*>(this);
   bool is_head_request = false;
   int interim_heads = 0;
   HttpFields fields;
@@ -82,6 +119,9 @@
       co_await read(
           boost::asio::redirect_error(boost::asio::use_awaitable, error));
       is_reading = false;
+      if (!Count()) {
+        error = boost::beast::http::error::buffer_overflow;
+      }
     }
     was_interrupted = is_interrupt_requested &&
                       error == boost::asio::error::operation_aborted;
--- a/src/impl/http_connection.h
+++ b/src/impl/http_connection.h
@@ -3,15 +3,19 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
 #include "impl/beast_exchange.h"
+#include "sycamoreford/core/memory_hold.h"
 
 namespace sycamoreford::impl {
 
@@ -72,6 +76,44 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
 
+  /// Starts to count what is read of a request. The read ends if there is no
+  /// room for it.
+  void StartHold() {
+    is_out_of_memory = false;
+    const auto cancel = [executor = stream.get_executor(),
+                         weak = weak_from_this()] {
+      boost::asio::post(executor, [weak] {
+        if (const auto self = weak.lock(); self && self->hold) {
+          self->is_out_of_memory = true;
+          boost::beast::error_code ignored;
+          self->stream.socket().cancel(ignored);
+        }
+      });
+    };
+    boost::beast::error_code ignored;
+    const auto client = stream.socket().remote_endpoint(ignored);
+    hold.emplace(
+        MemoryBudget::OfProcess(), HeldKind::kRequest,
+        client.address().to_string() + ":" + std::to_string(client.port()),
+        cancel);
+  }
+
+  /// Counts what was read of a request so far.
+  ///
+  /// \returns whether there is room for it.
+  [[nodiscard]] bool Count(std::size_t body_bytes) {
+    is_out_of_memory = is_out_of_memory ||
+                       !hold->Resize(buffer.capacity() + kCopies * body_bytes);
+    return !is_out_of_memory;
+  }
+
+  /// Counts a request that was read whole until it has a response. It is not
+  /// given up for others any more.
+  void KeepHold(std::size_t body_bytes) {
+    hold.emplace(MemoryBudget::OfProcess(), HeldKind::kRequest, "");
+    (void)hold->Resize(buffer.capacity() + kCopies * body_bytes);
+  }
+
   /// Ends the handler of the running request if it has not begun to respond.
   void EndRequest() {
     if (exchange != nullptr && !exchange->response_started()) {
@@ -79,8 +121,13 @@
     }
   }
 
+  /// A body is kept as it was received and as it is sent.
+  static constexpr std::size_t kCopies = 2;
+  /// Heads, chunk extensions and trailers of requests must fit.
+  static constexpr std::size_t kMaxBufferBytes = 256UL * 1024;
+
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferBytes};
   boost::asio::steady_timer timer;
   boost::asio::steady_timer end_timer;
   /// The request that is being handled; null if there is none.
@@ -91,6 +138,9 @@
   std::chrono::milliseconds idle_timeout{0};
   bool has_read_timeout = false;
   bool timed_out = false;
+  /// Counts the request that is read or handled; empty if there is none.
+  std::optional<MemoryHold> hold;
+  bool is_out_of_memory = false;
 };
 
 }  // namespace sycamoreford::impl
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -153,6 +153,7 @@
   reader.ReadNumber("attempts", limits.attempts, 1, 100);
   reader.ReadNumber("default_max_tokens", limits.default_max_tokens, 1,
                     1'000'000);
+  reader.ReadNumber("memory_budget_mb", limits.memory_budget_mb, 8, 65'536);
   reader.ReadNumber("metrics_series", limits.metrics_series, 1, 100'000);
   reader.ReadDuration("request_timeout_ms", limits.request_timeout,
                       kMaxDuration);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -47,6 +47,7 @@
   CHECK(limits.header_bytes == defaults.header_bytes);
   CHECK(limits.body_bytes == defaults.body_bytes);
   CHECK(limits.attempts == defaults.attempts);
+  CHECK(limits.memory_budget_mb == defaults.memory_budget_mb);
   CHECK(limits.metrics_series == defaults.metrics_series);
   CHECK(limits.request_timeout == defaults.request_timeout);
   CHECK(limits.idle_timeout == defaults.idle_timeout);
--- a/tests/support/platform_route.h
+++ b/tests/support/platform_route.h
@@ -11,6 +11,7 @@
   int time_limit_ms = 5'000;
   int target_latency_ms = 500;
   bool allows_anonymous = true;
+  std::string service = "plain";
 
   /// As JSON; the path prefix is the name.
   [[nodiscard]] std::string ToText() const {
@@ -18,8 +19,8 @@
            name + R"(/","Kind":")" + kind + R"(","TimeoutMs":)" +
            std::to_string(time_limit_ms) + R"(,"TargetLatencyMs":)" +
            std::to_string(target_latency_ms) +
-           R"(,"MaxAttempts":2,"Service":"plain","AllowAnonymous":)" +
-           (allows_anonymous ? "true}" : "false}");
+           R"(,"MaxAttempts":2,"Service":")" + service +
+           R"(","AllowAnonymous":)" + (allows_anonymous ? "true}" : "false}");
   }
 };
 
--- a/tests/support/relay_fleet.h
+++ b/tests/support/relay_fleet.h
@@ -30,7 +30,7 @@
 namespace sycamoreford::support {
 
 /// Relay daemons as processes, each with a path of its own to a store that all
-/// share, and one endpoint of a plain service.
+/// share, one endpoint of a plain service, and a sound one of another.
 ///
 /// Thread safety: none; the store runs on a thread of its own.
 class RelayFleet {
@@ -69,6 +69,9 @@
         return SealedResponse(std::chrono::milliseconds(0));
       }) {
     endpoint_.SetResponder(std::move(respond));
+    other_endpoint_.SetResponder([](const HttpRequest&) {
+      return SealedResponse(std::chrono::milliseconds(0));
+    });
     for (std::size_t i = 0; i < count; ++i) {
       AddDaemon(i);
     }
@@ -255,6 +258,16 @@
         {"Key", key}, {"Value", base64_value}, {"ObjectVersion", version}});
   }
 
+  static std::string EndpointRow(const std::string& id,
+                                 const std::string& service,
+                                 const fakes::ScriptedEndpoint& endpoint) {
+    return Row(id,
+               EncodeBase64(R"({"Service":")" + service +
+                            R"(","State":"ready","Zone":"north","Address":")" +
+                            endpoint.address() + "\"}"),
+               1);
+  }
+
   fakes::EndpointScript Respond(const Daemon& daemon,
                                 const HttpRequest& request) {
     const std::lock_guard lock(mutex_);
@@ -294,12 +307,8 @@
       }
     } else if (has("Table=servers")) {
       delay = has("/rows-feed") ? std::chrono::milliseconds(300) : delay;
-      rows = Row(
-          "p1",
-          EncodeBase64(R"({"Service":"plain","State":"ready","Zone":"north",)"
-                       R"("Address":")" +
-                       endpoint_.address() + "\"}"),
-          1);
+      rows = EndpointRow("p1", "plain", endpoint_) + "," +
+             EndpointRow("o1", "other", other_endpoint_);
     } else if (has("From=daemon")) {
       for (const auto& [key, row] : own_rows_) {
         if (key.starts_with("daemon/")) {
@@ -317,6 +326,8 @@
   std::set<std::uint16_t> ports_;
   boost::asio::io_context context_{1};
   fakes::ScriptedEndpoint endpoint_{context_};
+  /// Of the service `other`; always sound.
+  fakes::ScriptedEndpoint other_endpoint_{context_};
   std::vector<std::unique_ptr<Daemon>> daemons_;
   std::mutex mutex_;
   /// Guarded by `mutex_`, as the access of daemons: the configuration in
