--- a/include/sycamoreford/adapters/endpoint_inspector.h
+++ b/include/sycamoreford/adapters/endpoint_inspector.h
@@ -15,6 +15,7 @@
 #include "sycamoreford/adapters/relay_state.h"
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_control.h"
+#include "sycamoreford/fleet/inspection_cause.h"
 
 namespace sycamoreford {
 
@@ -34,8 +35,10 @@
   /// Monitors the chains and the endpoints; does not return.
   boost::asio::awaitable<void> Watch() {
     const auto executor = co_await boost::asio::this_coro::executor;
-    const auto inspect = [this, executor](const std::string& id) {
-      boost::asio::co_spawn(executor, Inspect(id), boost::asio::detached);
+    const auto inspect = [this, executor](const std::string& id,
+                                          InspectionCause cause) {
+      boost::asio::co_spawn(executor, Inspect(id, cause),
+                            boost::asio::detached);
     };
     state_.SetInspector(inspect);
     for (;;) {
@@ -52,7 +55,7 @@
         // All stages are asked: the first endpoint notices a stall only after a
         // delay, while a dead stage shows at once by not responding.
         for (const std::string& id : state_.StagesOfActiveChains(first)) {
-          inspect(id);
+          inspect(id, InspectionCause::kChain);
         }
       }
       const bool checks_suspects = now >= next_suspect_check_;
@@ -65,7 +68,7 @@
           // Only another report can show that it is fast again.
           next_slowness_check_[id] =
               now + kSlownessCheckInterval * state_.interval_factor();
-          inspect(id);
+          inspect(id, InspectionCause::kSlow);
         }
         const bool is_suspected = known.suspected_until > now;
         const bool ends_soon =
@@ -74,7 +77,8 @@
             is_suspected && !known.record.is_leaving && checks_suspects &&
             state_.IsChainAwaited(known.record.service, now);
         if ((ends_soon || is_awaited) && !pending_inspections_.contains(id)) {
-          inspect(id);
+          inspect(id, ends_soon ? InspectionCause::kSuspicionEnd
+                                : InspectionCause::kAwaited);
         }
       }
     }
@@ -122,7 +126,7 @@
   /// Fetches and evaluates the report of an endpoint. Does nothing while
   /// another inspection of the endpoint is running, or if the endpoint accepts
   /// none at present.
-  boost::asio::awaitable<void> Inspect(std::string id) {
+  boost::asio::awaitable<void> Inspect(std::string id, InspectionCause cause) {
     const KnownEndpoint* known = state_.directory().Find(id);
     if (known == nullptr || known->record.kind.empty()) {
       // Endpoints of plain services have no report; a suspicion just ends.
@@ -141,6 +145,7 @@
     const TimePoint sent_at = clock_.Now();
     last_inspections_[id] = sent_at;
     state_.OnSent(id, sent_at);
+    state_.metrics().OnInspection(ToString(cause));
     const auto report = co_await control_.FetchReport(address);
     pending_inspections_.erase(id);
     if (report || report.error().code != Errc::kConnectionRefused) {
--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -342,7 +342,7 @@
       }
     }
     for (const std::string& id : ids) {
-      state_.Inspect(id);
+      state_.Inspect(id, InspectionCause::kListLost);
     }
   }
 
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -316,7 +316,7 @@
       return;
     }
     if (!message.endpoint.empty()) {
-      state_.Inspect(message.endpoint);
+      state_.Inspect(message.endpoint, InspectionCause::kAsked);
       return;
     }
     state_.RetryBudgetFor(message.service)
--- a/include/sycamoreford/adapters/relay_state.h
+++ b/include/sycamoreford/adapters/relay_state.h
@@ -17,6 +17,7 @@
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/endpoint_directory.h"
 #include "sycamoreford/fleet/fleet_accelerators.h"
+#include "sycamoreford/fleet/inspection_cause.h"
 #include "sycamoreford/fleet/isolation_detector.h"
 #include "sycamoreford/fleet/peer_table.h"
 #include "sycamoreford/relay/backoff_source.h"
@@ -151,7 +152,8 @@
   void RemoveAttempt(std::list<ActiveAttempt>::iterator attempt);
 
   /// Sets the function that inspects an endpoint; it is called with the id.
-  void SetInspector(std::function<void(std::string)> inspect) {
+  void SetInspector(
+      std::function<void(const std::string&, InspectionCause)> inspect) {
     inspect_ = std::move(inspect);
   }
 
@@ -164,7 +166,7 @@
   }
 
   /// Starts an inspection of an endpoint without marking it as suspected.
-  void Inspect(const std::string& id);
+  void Inspect(const std::string& id, InspectionCause cause);
 
   /// Ids of all stages, including the first, of the chains that start at
   /// `first` and have requests of this daemon in flight.
@@ -307,7 +309,7 @@
   IsolationDetector isolation_;
   std::uint32_t daemon_count_;
   std::size_t rank_ = 0;
-  std::function<void(std::string)> inspect_;
+  std::function<void(const std::string&, InspectionCause)> inspect_;
   std::function<void(const std::string&, std::optional<double>)> notify_peers_;
   std::function<void()> notify_limits_;
   std::function<void(const std::string&, const ChainLoadReport&)> notify_loads_;
--- a/include/sycamoreford/relay/relay_metrics.h
+++ b/include/sycamoreford/relay/relay_metrics.h
@@ -81,6 +81,17 @@
   /// \param source name of a `LeavingSource`.
   void OnLeaving(std::string_view source) { ++leaving_[std::string(source)]; }
 
+  /// Records that an endpoint is inspected.
+  ///
+  /// \param cause name of an `InspectionCause`.
+  void OnInspection(std::string_view cause) {
+    ++inspections_[std::string(cause)];
+  }
+  [[nodiscard]] const std::map<std::string, std::uint64_t>& inspections()
+      const noexcept {
+    return inspections_;
+  }
+
   /// Records that an endpoint asked for a pause.
   ///
   /// \param source name of a `BackoffSource`.
@@ -128,6 +139,8 @@
   TimeHistogram decoding_;
   /// Endpoints found to be leaving, by source.
   std::map<std::string, std::uint64_t> leaving_;
+  /// Inspections of endpoints, by cause.
+  std::map<std::string, std::uint64_t> inspections_;
   /// Pauses that endpoints asked for, by source.
   std::map<std::string, std::uint64_t> backoffs_;
   /// What was not sent after all, by kind.
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -203,7 +203,7 @@
 
 void RelayState::OnEndpointFault(const std::string& id, TimePoint now) {
   directory_.Suspect(id, now);
-  Inspect(id);
+  Inspect(id, InspectionCause::kFault);
   if (notify_peers_) {
     notify_peers_(id, std::nullopt);
   }
@@ -320,9 +320,9 @@
   return ids;
 }
 
-void RelayState::Inspect(const std::string& id) {
+void RelayState::Inspect(const std::string& id, InspectionCause cause) {
   if (inspect_) {
-    inspect_(id);
+    inspect_(id, cause);
   }
 }
 
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -117,6 +117,11 @@
     AppendSample(text, "sycamoreford_relay_leaving_endpoints_total",
                  label("source", source), std::to_string(count));
   }
+  AppendType(text, "sycamoreford_relay_inspections_total", "counter");
+  for (const auto& [cause, count] : inspections_) {
+    AppendSample(text, "sycamoreford_relay_inspections_total",
+                 label("cause", cause), std::to_string(count));
+  }
   AppendType(text, "sycamoreford_relay_endpoint_backoffs_total", "counter");
   for (const auto& [source, count] : backoffs_) {
     AppendSample(text, "sycamoreford_relay_endpoint_backoffs_total",
--- a/tests/chain_backoff_test.cc
+++ b/tests/chain_backoff_test.cc
@@ -125,7 +125,7 @@
   resting.is_overloaded = true;
   const auto inspect = [&] {
     for (const auto& relay : deployment.relays) {
-      relay->state.Inspect("model0");
+      relay->state.Inspect("model0", InspectionCause::kAsked);
     }
     deployment.RunFor(milliseconds(50));
   };
