Do not let a lost hold reach a request that was read whole

A hold that is lost to another one ends the read on its connection. With several threads, the request could be complete by then, and its handler would lose the socket. Read in the code; not seen.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -362,8 +362,10 @@
   ++state->active_requests;
   const std::shared_ptr<void> decrement_on_exit(
       nullptr, [state](void*) { --state->active_requests; });
-  const std::shared_ptr<void> release_on_exit(
-      nullptr, [&connection](void*) { connection.hold.reset(); });
+  const std::shared_ptr<void> release_on_exit(nullptr, [&connection](void*) {
+    connection.reading.reset();
+    connection.hold.reset();
+  });
   auto message = co_await ReadRequest(state, connection);
   if (!message) {
     co_return false;
--- a/src/impl/http_connection.h
+++ b/src/impl/http_connection.h
@@ -80,10 +80,12 @@
   /// room for it.
   void StartHold() {
     is_out_of_memory = false;
+    reading = std::make_shared<Connection*>(this);
     const auto cancel = [executor = stream.get_executor(),
-                         weak = weak_from_this()] {
+                         weak = std::weak_ptr<Connection*>(reading)] {
       boost::asio::post(executor, [weak] {
-        if (const auto self = weak.lock(); self && self->hold) {
+        if (const auto connection = weak.lock()) {
+          Connection* self = *connection;
           self->is_out_of_memory = true;
           boost::beast::error_code ignored;
           self->stream.socket().cancel(ignored);
@@ -110,6 +112,7 @@
   /// Counts a request that was read whole until it has a response. It is not
   /// given up for others any more.
   void KeepHold(std::size_t body_bytes) {
+    reading.reset();
     hold.emplace(MemoryBudget::OfProcess(), HeldKind::kRequest, "");
     (void)hold->Resize(buffer.capacity() + kCopies * body_bytes);
   }
@@ -141,6 +144,8 @@
   /// Counts the request that is read or handled; empty if there is none.
   std::optional<MemoryHold> hold;
   bool is_out_of_memory = false;
+  /// Set while `hold` may be lost to others.
+  std::shared_ptr<Connection*> reading;
 };
 
 }  // namespace sycamoreford::impl
