Read the store while it turns away only those who read it for all

While the three daemons that read the store for all were turned away by it, the others waited 2 to 3 s between two reads of the list although the store served them, and did not ask for the configuration at all: a change would not have come into force for as long as that lasted.

--- a/include/sycamoreford/adapters/endpoint_follower.h
+++ b/include/sycamoreford/adapters/endpoint_follower.h
@@ -122,6 +122,11 @@
     return !IsReader() && feed_.Covers(clock_.Now());
   }
 
+  /// Whether a daemon tells this one that reads the store at present.
+  [[nodiscard]] bool IsToldByReader() const {
+    return !IsReader() && feed_.IsHeard(clock_.Now());
+  }
+
   /// Uses the endpoints known to a peer, unless a list is known already.
   void UsePeerEndpoints(const std::vector<EndpointRecord>& records) {
     if (!has_endpoints_) {
--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -43,7 +43,7 @@
     StoreConnection connection("configuration");
     bool is_position_old = false;
     for (;;) {
-      while (position && IsFed()) {
+      while (position && endpoints_.IsToldByReader()) {
         co_await Pause(kFedCheckInterval);
         is_position_old = true;
       }
--- a/include/sycamoreford/fleet/store_feed.h
+++ b/include/sycamoreford/fleet/store_feed.h
@@ -31,7 +31,10 @@
   explicit StoreFeed(std::chrono::milliseconds spread) : spread_(spread) {}
 
   /// This daemon is about to read the store itself.
-  void OnTry(TimePoint now) { tried_at_ = now; }
+  void OnTry(TimePoint now) {
+    tried_at_ = now;
+    has_answered_ = false;
+  }
 
   /// This daemon has read the store itself, up to `position`.
   void OnRead(std::uint64_t position);
@@ -47,7 +50,12 @@
   /// \param digest of the list that results.
   void OnApplied(const StoreNews& news, std::uint64_t digest, TimePoint now);
 
-  /// Whether this daemon need not read the list or the configuration itself.
+  /// Whether a daemon tells that reads the store at present.
+  [[nodiscard]] bool IsHeard(TimePoint now) const {
+    return heard_at_ && now - *heard_at_ < kMaxSilence;
+  }
+
+  /// Whether this daemon need not read the list itself.
   [[nodiscard]] bool Covers(TimePoint now) const;
 
   /// Whether others say that the store does not answer them.
@@ -74,6 +82,8 @@
   /// Since when the list differs from that of the readers.
   std::optional<TimePoint> differs_since_;
   std::optional<TimePoint> tried_at_;
+  /// Whether the store has answered the last try.
+  bool has_answered_ = false;
   std::chrono::milliseconds spread_;
 };
 
--- a/src/fleet/store_feed.cc
+++ b/src/fleet/store_feed.cc
@@ -8,6 +8,7 @@
   newest_ = std::max(newest_, position);
   verified_ = std::max(verified_.value_or(0), position);
   differs_since_.reset();
+  has_answered_ = true;
 }
 
 bool StoreFeed::OnNews(const StoreNews& news, TimePoint now) {
@@ -39,10 +40,9 @@
   if (!verified_) {
     return false;
   }
-  const bool is_heard = heard_at_ && now - *heard_at_ < kMaxSilence;
-  if (!is_heard) {
-    // A daemon alone may be turned away, or this one may reach it alone.
-    return IsStoreLost(now) && tried_at_ &&
+  if (!IsHeard(now)) {
+    // The store may turn away those who read for all, and serve this one.
+    return IsStoreLost(now) && !has_answered_ && tried_at_ &&
            now - *tried_at_ < kLostInterval + spread_;
   }
   return !differs_since_ || now - *differs_since_ < kMaxDifference;
