--- a/tests/support/relay_fleet.h
+++ b/tests/support/relay_fleet.h
@@ -76,6 +76,7 @@
       AddDaemon(i);
     }
     thread_ = std::thread([this] { context_.run(); });
+    other_thread_ = std::thread([this] { other_context_.run(); });
   }
   ~RelayFleet() {
     for (const auto& daemon : daemons_) {
@@ -83,6 +84,8 @@
     }
     context_.stop();
     thread_.join();
+    other_context_.stop();
+    other_thread_.join();
   }
   RelayFleet(const RelayFleet&) = delete;
   RelayFleet& operator=(const RelayFleet&) = delete;
@@ -326,8 +329,10 @@
   std::set<std::uint16_t> ports_;
   boost::asio::io_context context_{1};
   fakes::ScriptedEndpoint endpoint_{context_};
-  /// Of the service `other`; always sound.
-  fakes::ScriptedEndpoint other_endpoint_{context_};
+  /// Of the service `other`; always sound, and on a thread of its own, whatever
+  /// the other stand-ins send.
+  boost::asio::io_context other_context_{1};
+  fakes::ScriptedEndpoint other_endpoint_{other_context_};
   std::vector<std::unique_ptr<Daemon>> daemons_;
   std::mutex mutex_;
   /// Guarded by `mutex_`, as the access of daemons: the configuration in
@@ -338,6 +343,7 @@
   std::uint64_t own_version_ = 0;
   mutable std::uint64_t requests_ = 0;
   std::thread thread_;
+  std::thread other_thread_;
 };
 
 }  // namespace sycamoreford::support
