--- a/tests/endless_memory_test.cc
+++ b/tests/endless_memory_test.cc
@@ -163,7 +163,7 @@
     return EndpointScript{
         Send(Forms().front().begin.substr(
             0, Forms().front().begin.find("Content"))),
-        Send("\r\n"), SendForever(std::string(25'000, 'x'), milliseconds(200))};
+        Send("\r\n"), SendForever(std::string(10'000, 'x'), milliseconds(20))};
   });
   StartDaemon(fleet);
   const auto callers = SendAtOnce(fleet, 300, Request(path));
