--- a/review/2/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case; see claim.txt. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec build/review/case2 review/2/record.txt
+exec build/review/case4 review/4/record.txt
--- a/review/support/net.cc
+++ b/review/support/net.cc
@@ -198,8 +198,8 @@
   shutdown(file_, SHUT_RD);
 }
 
-Server::Server(Handler handler)
-    : handler_(std::move(handler)), port_(FreePort()) {
+Server::Server(Handler handler, int port)
+    : handler_(std::move(handler)), port_(port == 0 ? FreePort() : port) {
   address_ = "127.0.0.1:" + std::to_string(port_);
   Start();
 }
--- a/review/support/net.h
+++ b/review/support/net.h
@@ -68,19 +68,20 @@
   std::string buffer_;
 };
 
-/// An HTTP server on a free port of the loopback interface, with a thread for
-/// each connection.
+/// An HTTP server on the loopback interface, with a thread for each connection.
 class Server {
  public:
   /// Answers a request. \returns whether the connection is kept.
   using Handler = std::function<bool(Connection&, const Message&)>;
 
-  explicit Server(Handler handler);
+  /// \param port to listen at; 0 for a free one.
+  explicit Server(Handler handler, int port = 0);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
   [[nodiscard]] const std::string& address() const { return address_; }
+  [[nodiscard]] int port() const { return port_; }
 
   /// Listens at the same port as before.
   void Start();
--- a/review/support/store.cc
+++ b/review/support/store.cc
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <sstream>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/json.hpp>
@@ -105,7 +106,7 @@
                            const std::string& key,
                            const std::string& value) {
   const std::lock_guard lock(mutex_);
-  if (is_away_) {
+  if (is_away_ || is_silent_) {
     return 0;
   }
   state_.rows[{table, key}] = {value, ++state_.newest, false};
@@ -116,7 +117,8 @@
 void Store::Drop(const std::string& table, const std::string& key) {
   const std::lock_guard lock(mutex_);
   const auto found = state_.rows.find({table, key});
-  if (!is_away_ && found != state_.rows.end() && !found->second.is_deleted) {
+  if (!is_away_ && !is_silent_ && found != state_.rows.end() &&
+      !found->second.is_deleted) {
     found->second = {"", ++state_.newest, true};
     changed_.notify_all();
   }
@@ -141,39 +143,67 @@
   server_.Stop();
 }
 
+void Store::FallSilent() {
+  const std::lock_guard lock(mutex_);
+  is_silent_ = true;
+  ++silences_;
+  changed_.notify_all();
+}
+
 void Store::ComeBack(const Copy& copy) {
   {
     const std::lock_guard lock(mutex_);
     state_ = copy;
     ++era_;
-    is_away_ = false;
+    is_silent_ = false;
+    if (!std::exchange(is_away_, false)) {
+      return;
+    }
   }
   server_.Start();
 }
 
-std::map<std::string, std::string> Store::Values(const std::string& table) {
-  const std::lock_guard lock(mutex_);
-  std::map<std::string, std::string> values;
-  for (const auto& [key, row] : state_.rows) {
-    if (key.first == table && !row.is_deleted) {
-      values[key.second] = row.value;
+int Store::WriteAgain(const Copy& lost, const Copy& copy) {
+  int rows = 0;
+  for (const auto& [key, row] : lost.rows) {
+    const auto found = copy.rows.find(key);
+    const bool is_lost = found == copy.rows.end() ||
+                         found->second.value != row.value ||
+                         found->second.is_deleted != row.is_deleted;
+    if (!is_lost || (key.first != "op" && key.first != "servers")) {
+      continue;
+    }
+    ++rows;
+    if (row.is_deleted) {
+      Drop(key.first, key.second);
+    } else {
+      Write(key.first, key.second, row.value);
     }
   }
-  return values;
+  return rows;
 }
 
 bool Store::Answer(Connection& connection, const Message& request) {
+  int silences = 0;
+  bool is_lost = false;
+  {
+    const std::lock_guard lock(mutex_);
+    silences = silences_;
+    is_lost = is_silent_;
+  }
   std::this_thread::sleep_for(kAnswerTime);
   const std::string target = request.target();
   const auto query = ParseQuery(target);
   int status = 200;
   std::string body;
-  if (target.starts_with("/rows-tx")) {
+  if (is_lost) {
+    body.clear();
+  } else if (target.starts_with("/rows-tx")) {
     body = RunTransaction(request.body, status);
   } else if (target.starts_with("/rows-get")) {
     body = Get(query);
   } else if (target.starts_with("/rows-feed")) {
-    body = Feed(query, status);
+    body = Feed(query, silences, status);
   } else {
     status = 404;
   }
@@ -183,8 +213,15 @@
     if (is_away_) {
       return false;
     }
+    is_lost = is_lost || silences != silences_;
     era = std::to_string(era_);
   }
+  if (is_lost) {
+    // Nothing more is delivered on this connection.
+    constexpr Milliseconds kForGood{100'000};
+    (void)connection.Read(kForGood);
+    return false;
+  }
   return connection.Write(Response(status, body, {{"Store-Era", era}}));
 }
 
@@ -206,7 +243,7 @@
       status = 412;
     }
   }
-  if (!is_away_ && status == 200) {
+  if (!is_away_ && !is_silent_ && status == 200) {
     ++state_.newest;
     for (const boost::json::value& entry : list("SetKeys")) {
       state_.rows[{TextOf(entry, "Table"), TextOf(entry, "Key")}] = {
@@ -268,6 +305,7 @@
 }
 
 std::string Store::Feed(const std::map<std::string, std::string>& query,
+                        int silences,
                         int& status) {
   const std::uint64_t after = std::stoull(ValueOr(query, "AfterRevision", "0"));
   const Milliseconds wait(std::stoll(ValueOr(query, "WaitMs", "0")));
@@ -281,7 +319,7 @@
     int count = 0;
     std::string body =
         Listing(ValueOr(query, "Table", ""), after, "", "", true, count);
-    if (count > 0 || is_away_ ||
+    if (count > 0 || is_away_ || silences != silences_ ||
         changed_.wait_until(lock, deadline) == std::cv_status::timeout) {
       return body;
     }
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -49,18 +49,24 @@
 
   /// Refuses connections and resets those that are open.
   void GoAway();
+  /// Gives no response any more. Connections are accepted and stay open, those
+  /// of calls that have no response yet for good.
+  void FallSilent();
   /// Comes back from a copy, with the next era.
   void ComeBack(const Copy& copy);
 
-  /// Rows of a table as they are at present.
-  [[nodiscard]] std::map<std::string, std::string> Values(
-      const std::string& table);
+  /// Writes again what the operator and the replicas had written and the copy
+  /// does not have.
+  ///
+  /// \returns the number of rows.
+  int WriteAgain(const Copy& lost, const Copy& copy);
 
  private:
   bool Answer(Connection& connection, const Message& request);
   std::string RunTransaction(const std::string& body, int& status);
   std::string Get(const std::map<std::string, std::string>& query);
   std::string Feed(const std::map<std::string, std::string>& query,
+                   int silences,
                    int& status);
   std::string Listing(const std::string& table,
                       std::uint64_t after,
@@ -74,6 +80,9 @@
   Copy state_;
   std::uint64_t era_ = 1;
   bool is_away_ = false;
+  bool is_silent_ = false;
+  /// Number of times that the store fell silent.
+  int silences_ = 0;
   Clock::time_point started_at_ = Clock::now();
   Server server_;
 };
