--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -65,12 +65,14 @@
   const std::string variable = "SYCAMOREFORD_CONFIG=" + settings;
   std::vector<std::string> words = {program, "--metrics-port", port};
   std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
   for (std::string& word : words) {
     arguments.push_back(word.data());
   }
   arguments.push_back(nullptr);
   std::vector<std::string> variables = {variable, "PATH=/usr/bin:/bin"};
   std::vector<char*> environment;
+  environment.reserve(variables.size() + 1);
   for (std::string& it : variables) {
     environment.push_back(it.data());
   }
