End a poll of the store that may have been lost when the store is back

Cause: a poll that is sent while the store is silent is never answered, and was given up only after its whole wait, 10.9 s for the configuration. Its follower did so right after a failed poll, so all daemons were deaf long after the store was back. The poll of the list noticed the return (itself late, as it too waited for changes after a failure: 20.85 s for a return at 18.5 s), but did not tell the other one. A change answers all polls in the same moment, so that all daemons poll, and fail, together, and none could tell the others.

Now a poll that follows a failed one returns at once, and the first answer to a poll of the list after a failure ends the pending poll of the configuration, which is sent again.

New in the log: configuration_poll_ended.

--- a/include/sycamoreford/adapters/endpoint_follower.h
+++ b/include/sycamoreford/adapters/endpoint_follower.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <set>
@@ -63,6 +64,9 @@
         co_await connection_.OnFailed(listing.error(), clock_.Now());
         continue;
       }
+      if (unreachable_since_ && notify_regained_) {
+        notify_regained_();
+      }
       unreachable_since_.reset();
       connection_.OnSucceeded();
       if (listing->has_gap) {
@@ -84,6 +88,12 @@
     }
   }
 
+  /// Sets the function that is called when a read has reached the store after
+  /// one that did not.
+  void SetRegainedNotifier(std::function<void()> notify) {
+    notify_regained_ = std::move(notify);
+  }
+
   /// Takes news of a daemon that reads the store.
   void OnNews(const StoreNews& news) {
     const TimePoint now = clock_.Now();
@@ -196,11 +206,20 @@
                          : EndpointPollDelay(state_.interval_factor());
   }
 
+  /// Time that the next poll waits for changes. After a poll that was not
+  /// answered, the next one returns at once, so that it shows soon whether the
+  /// store is back.
+  [[nodiscard]] std::chrono::milliseconds MaxWait() const {
+    if (is_unreachable()) {
+      return StoreConnection::kProbeWait;
+    }
+    return ReadsForAll() ? kMaxReaderWait : kMaxWait;
+  }
+
   boost::asio::awaitable<Result<EndpointListing>> Next(
       std::optional<std::uint64_t> position) {
     if (position) {
-      co_return co_await store_.AwaitEndpoints(
-          *position, ReadsForAll() ? kMaxReaderWait : kMaxWait);
+      co_return co_await store_.AwaitEndpoints(*position, MaxWait());
     }
     co_return co_await store_.ReadEndpoints();
   }
@@ -288,6 +307,7 @@
   /// Time since which the list cannot be read, if it cannot.
   std::optional<TimePoint> unreachable_since_;
   TimePoint next_inspection_at_{};
+  std::function<void()> notify_regained_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "sycamoreford/adapters/endable_wait.h"
 #include "sycamoreford/adapters/endpoint_follower.h"
 #include "sycamoreford/adapters/pause.h"
 #include "sycamoreford/adapters/relay_state.h"
@@ -35,7 +36,9 @@
  public:
   /// Precondition: all arguments outlive this object.
   FleetFollower(RelayState& state, Store& store, const TheClock& clock)
-      : state_(state), store_(store), clock_(clock) {}
+      : state_(state), store_(store), clock_(clock) {
+    endpoints_.SetRegainedNotifier([this] { manifest_poll_.End(); });
+  }
 
   /// Follows the configuration; does not return.
   boost::asio::awaitable<void> FollowManifest() {
@@ -52,7 +55,16 @@
         position.reset();
       }
       state_.configuration_wait().OnAsked(clock_.Now());
-      Result<ManifestListing> listing = co_await NextManifest(position);
+      const TimePoint asked_at = clock_.Now();
+      std::optional<Result<ManifestListing>> response =
+          co_await NextManifest(position, connection);
+      if (!response) {
+        LogEvent(Severity::kInfo, "configuration_poll_ended")
+            .With("reason", "store_regained")
+            .With("after_ms", clock_.Now() - asked_at);
+        continue;
+      }
+      Result<ManifestListing>& listing = *response;
       if (!listing) {
         state_.configuration_wait().OnFailed();
         co_await connection.OnFailed(listing.error(), clock_.Now());
@@ -274,16 +286,29 @@
     state_.Accept(listing.manifest);
   }
 
-  boost::asio::awaitable<Result<ManifestListing>> NextManifest(
-      std::optional<std::uint64_t> position) {
+  /// \returns nothing if the poll was ended because it may have been sent while
+  ///     the store did not answer.
+  boost::asio::awaitable<std::optional<Result<ManifestListing>>> NextManifest(
+      std::optional<std::uint64_t> position,
+      const StoreConnection& connection) {
     if (position) {
-      const bool reads_for_all = state_.duty().IsShared() && IsReader();
-      co_return co_await store_.AwaitManifest(
-          *position, reads_for_all ? kMaxReaderWait : kMaxManifestWait);
+      co_return co_await manifest_poll_.Run(
+          store_.AwaitManifest(*position, MaxWait(connection)));
     }
     co_return co_await store_.ReadManifest();
   }
 
+  /// Time that the next poll waits for changes. A poll that is sent while the
+  /// store does not answer waits in vain for as long.
+  [[nodiscard]] std::chrono::milliseconds MaxWait(
+      const StoreConnection& connection) const {
+    if (connection.is_lost()) {
+      return StoreConnection::kProbeWait;
+    }
+    const bool reads_for_all = state_.duty().IsShared() && IsReader();
+    return reads_for_all ? kMaxReaderWait : kMaxManifestWait;
+  }
+
   RelayState& state_;
   Store& store_;
   const TheClock& clock_;
@@ -298,6 +323,7 @@
   bool has_read_store_ = false;
   AheadDaemons ahead_;
   FetchFromPeer fetch_;
+  EndableWait<Result<ManifestListing>> manifest_poll_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/store_connection.h
+++ b/include/sycamoreford/adapters/store_connection.h
@@ -49,12 +49,19 @@
     failed_calls_ = 0;
   }
 
+  /// Whether the last call has failed.
+  [[nodiscard]] bool is_lost() const noexcept { return is_lost_; }
+
   /// Whether a call has failed within `time`.
   [[nodiscard]] bool HasFailedWithin(std::chrono::milliseconds time,
                                      TimePoint now) const {
     return last_failure_at_ != TimePoint{} && now < last_failure_at_ + time;
   }
 
+  /// Time that a poll waits for changes after one that has failed: a response
+  /// that is lost again must not be waited for.
+  static constexpr std::chrono::milliseconds kProbeWait{0};
+
   /// Delay after a call that did not reach the store.
   static constexpr std::chrono::milliseconds kUnreachableRetryDelay{150};
 
