Take a response for one of the runs that were there when it was asked

Cause: a response with Server-Leaving does not state its run, and the list may show an earlier one, so all runs that had started by "now" were taken for leaving. "Now" was the time of reading. Read late, the response condemned a run that had started after it was written; the others are told, and nothing takes it back.

What responds was running when the request was sent, since each connection carries one request. The time just before the sending is the limit now, for the daemon that sent it; behind another daemon, that one tells it in a header of its own (Sycamoreford-Leaving-Until), which versions before remove, as they do with Sycamoreford-Leaving. Without it, the time of forwarding counts.

The check of Sycamoreford-Leaving in peer_format_test is unchanged; the new header has one of its own.

--- a/include/sycamoreford/adapters/endpoint_attempt.h
+++ b/include/sycamoreford/adapters/endpoint_attempt.h
@@ -93,8 +93,10 @@
     has_begun_ = true;
     head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
                                       call_.fields());
-    if (!options_.is_forwarded) {
-      head_.SetSender(options_.run);
+    if (options_.is_forwarded) {
+      head_.SetForwarded(call_.sent_at());
+    } else {
+      head_.SetSender(options_.run, call_.sent_at());
     }
     if (options_.on_head) {
       options_.on_head(head_);
--- a/include/sycamoreford/adapters/http_client.h
+++ b/include/sycamoreford/adapters/http_client.h
@@ -85,6 +85,12 @@
   /// Whether any byte of the request may have reached the other end.
   [[nodiscard]] bool was_sent() const noexcept;
 
+  /// Time of day just before the request was sent. Whatever responds was
+  /// running then; the time at which the response is read tells nothing of it.
+  ///
+  /// Precondition: `was_sent()`.
+  [[nodiscard]] std::chrono::system_clock::time_point sent_at() const noexcept;
+
   /// Whether nothing was sent because `may_send` returned false.
   [[nodiscard]] bool was_withheld() const noexcept;
 
--- a/include/sycamoreford/adapters/request_processor.h
+++ b/include/sycamoreford/adapters/request_processor.h
@@ -258,7 +258,8 @@
                           const ResponseHead& head,
                           HttpResponse& response) {
     if (context.is_from_peer && head.leaving_run) {
-      Codec::MarkLeaving(response, *head.leaving_run);
+      Codec::MarkLeaving(response, {.run = *head.leaving_run,
+                                    .until_ms = head.leaving_until_ms});
     }
   }
 
--- a/include/sycamoreford/adapters/stream_attempt.h
+++ b/include/sycamoreford/adapters/stream_attempt.h
@@ -236,8 +236,10 @@
     NoteProgress();
     head_ = Codec::DecodeResponseHead(options_.request_id, call_.status(),
                                       call_.fields());
-    if (!is_forwarded()) {
-      head_.SetSender(sender());
+    if (is_forwarded()) {
+      head_.SetForwarded(call_.sent_at());
+    } else {
+      head_.SetSender(sender(), call_.sent_at());
     }
     if (is_in_flight()) {
       OnHeadDecoded();
--- a/include/sycamoreford/core/clock.h
+++ b/include/sycamoreford/core/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstdint>
 
 namespace sycamoreford {
 
@@ -12,6 +13,15 @@
 /// Time span on the monotonic clock.
 using Duration = std::chrono::steady_clock::duration;
 
+/// Converts a time of day to ms since 1970, as it is stored and sent.
+[[nodiscard]] inline std::uint64_t ToWallClockMs(
+    std::chrono::system_clock::time_point time) noexcept {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          time.time_since_epoch())
+          .count());
+}
+
 /// A source of monotonic time.
 template <class T>
 concept Clock = requires(const T& clock) {
--- a/include/sycamoreford/relay/relay_codec.h
+++ b/include/sycamoreford/relay/relay_codec.h
@@ -8,6 +8,7 @@
 
 #include "sycamoreford/adapters/http_message.h"
 #include "sycamoreford/core/failure.h"
+#include "sycamoreford/fleet/leaving_run.h"
 #include "sycamoreford/relay/relay_request.h"
 
 namespace sycamoreford {
@@ -20,7 +21,7 @@
                               const std::string& id,
                               const HttpFields& fields,
                               const PeerForward& forward,
-                              const EndpointRunId& run,
+                              const LeavingRun& leaving,
                               const std::set<std::string>& endpoints,
                               HttpResponse& response,
                               std::chrono::milliseconds retry_after) {
@@ -38,7 +39,7 @@
   // Tells the daemon that forwarded a request that it has not run, and why.
   { T::MarkNotRun(response, Refusal::kNoEndpoint) } -> std::same_as<void>;
   // Tells the daemon that forwarded a request which endpoint is leaving.
-  { T::MarkLeaving(response, run) } -> std::same_as<void>;
+  { T::MarkLeaving(response, leaving) } -> std::same_as<void>;
   // Tells the daemon that forwarded a request which endpoints it was sent to.
   { T::MarkTried(response, endpoints) } -> std::same_as<void>;
 };
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/strong_id.h"
 #include "sycamoreford/fleet/endpoint_run_id.h"
 #include "sycamoreford/relay/reported_load.h"
@@ -96,6 +97,9 @@
   /// The run of an endpoint that is leaving. As decoded, it is what another
   /// daemon states of the endpoint whose response it forwards.
   std::optional<EndpointRunId> leaving_run;
+  /// Wall-clock time in ms at which the request was sent to that endpoint; 0 if
+  /// another daemon does not state it. Runs that started later did not respond.
+  std::uint64_t leaving_until_ms = 0;
   /// The endpoints that another daemon has sent the request to; nothing if it
   /// does not state them.
   std::optional<std::set<std::string>> tried_endpoints;
@@ -103,8 +107,21 @@
   /// Sets `leaving_run` for a response that comes from an endpoint itself.
   ///
   /// \param run the run that the request was sent to; empty if not known.
-  void SetSender(const std::optional<EndpointRunId>& run) {
+  /// \param sent_at when it was sent.
+  void SetSender(const std::optional<EndpointRunId>& run,
+                 std::chrono::system_clock::time_point sent_at) {
     leaving_run = is_leaving && IsTrusted() ? run : std::nullopt;
+    leaving_until_ms = ToWallClockMs(sent_at);
+  }
+
+  /// Completes `leaving_until_ms` for a response that came through another
+  /// daemon, which sent the request later than this one did.
+  ///
+  /// \param sent_at when this daemon sent the request to the other one.
+  void SetForwarded(std::chrono::system_clock::time_point sent_at) {
+    if (leaving_until_ms == 0) {
+      leaving_until_ms = ToWallClockMs(sent_at);
+    }
   }
 
   [[nodiscard]] bool IsServerError() const noexcept {
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -172,6 +172,7 @@
   const auto message = ToMessage(address, request);
   stream.expires_at(deadline);
   state_->was_sent = true;
+  state_->sent_at = std::chrono::system_clock::now();
   co_await http::async_write(stream, message, token);
   if (error) {
     co_return ExchangeFailure(error, address);
@@ -233,6 +234,10 @@
   return state_->was_sent;
 }
 
+std::chrono::system_clock::time_point HttpCall::sent_at() const noexcept {
+  return state_->sent_at;
+}
+
 bool HttpCall::was_withheld() const noexcept {
   return state_->was_withheld;
 }
--- a/src/adapters/leaving_recorder.cc
+++ b/src/adapters/leaving_recorder.cc
@@ -1,21 +1,8 @@
 #include "sycamoreford/adapters/leaving_recorder.h"
 
-#include <chrono>
-#include <cstdint>
-
 #include "sycamoreford/core/log.h"
 
 namespace sycamoreford {
-namespace {
-
-std::uint64_t WallClockMs() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
-}  // namespace
 
 void LeavingRecorder::OnHead(const ResponseHead& head,
                              const std::string& sender,
@@ -23,10 +10,11 @@
                              LeavingSource source) {
   if (head.leaving_run) {
     // A response does not state the start of its run, which may be later than
-    // the list shows.
+    // the list shows, but not later than the request.
     if (!directory_.leaving().Contains(*head.leaving_run)) {
-      RecordAndTell({.run = *head.leaving_run, .until_ms = WallClockMs()},
-                    source);
+      RecordAndTell(
+          {.run = *head.leaving_run, .until_ms = head.leaving_until_ms},
+          source);
     }
   } else if (head.is_leaving) {
     LogEvent(Severity::kInfo, "leaving_not_noted")
--- a/src/impl/http_call_state.h
+++ b/src/impl/http_call_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -101,6 +102,7 @@
   /// The other end, for failures.
   std::string address;
   bool was_sent = false;
+  std::chrono::system_clock::time_point sent_at;
   bool was_withheld = false;
   bool is_reading = false;
   /// Whether a read is to be ended by `Interrupt`.
--- a/tests/leaving_over_hops_test.cc
+++ b/tests/leaving_over_hops_test.cc
@@ -161,5 +161,53 @@
   }
 }
 
+// Guards against a response that was on the way while the endpoint started
+// anew, as to a relay that was frozen meanwhile.
+TEST_CASE("a run that started after a request is not the one that responds") {
+  const std::string path = GENERATE("/safe/", "/stream/");
+  const bool is_forwarded = GENERATE(false, true);
+  CAPTURE(path, is_forwarded);
+  bool is_leaving = false;
+  RelayNetwork network(2, 1, [&](std::size_t, const HttpRequest& request) {
+    EndpointScript script = Respond(request, is_leaving);
+    if (is_leaving) {
+      script.insert(script.begin(), fakes::Wait(milliseconds(500)));
+    }
+    return script;
+  });
+  const auto announce = [&](std::uint64_t started_at_ms) {
+    network.SetReportedStart(0, started_at_ms);
+    network.Announce(0, 0, started_at_ms);
+    network.Announce(1, 0, started_at_ms);
+  };
+  announce(WallClock(seconds(60)));
+  if (is_forwarded) {
+    network.SetLinks(0, LinkState::kRefusing);
+    network.RunFor(milliseconds(600));
+    for (int i = 0; i < 12; ++i) {
+      network.Send(0, path + std::to_string(i));
+      network.RunFor(milliseconds(300));
+    }
+  }
+
+  is_leaving = true;
+  const std::string late = network.Send(0, path + "late");
+  network.RunFor(milliseconds(200));
+  is_leaving = false;
+  announce(WallClock(seconds(0)));
+  network.RunFor(seconds(1));
+  REQUIRE(network.ResponseOf(late).status == 200);
+
+  network.SetLinks(0, LinkState::kUp);
+  // Longer than a suspicion.
+  network.RunFor(seconds(5));
+  for (const std::size_t relay : {0U, 1U}) {
+    CAPTURE(relay);
+    const std::string id = network.Send(relay, path + "after");
+    network.RunFor(seconds(1));
+    CHECK(network.ResponseOf(id).status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace sycamoreford
--- a/tests/peer_format_test.cc
+++ b/tests/peer_format_test.cc
@@ -117,6 +117,32 @@
       CHECK(name.empty());
     }
   }
+  SECTION("that names a leaving endpoint and when it was asked") {
+    HttpRelayCodec::MarkLeaving(response, {.run = {"i-7f3a", 1'790'000'000'000},
+                                           .until_ms = 1'790'000'060'000});
+    CHECK(response.fields.Get("Sycamoreford-Leaving") ==
+          "i-7f3a 1790000000000");
+    CHECK(response.fields.Get("Sycamoreford-Leaving-Until") == "1790000060000");
+    const auto head =
+        HttpRelayCodec::DecodeResponseHead("r1", 200, response.fields);
+    CHECK(head.leaving_run == EndpointRunId{"i-7f3a", 1'790'000'000'000});
+    CHECK(head.leaving_until_ms == 1'790'000'060'000);
+    // The version before does not know the headers, and removes what concerns
+    // one connection only.
+    std::set<std::string> connection;
+    for (const auto& [name, value] : response.fields) {
+      if (name == "Connection") {
+        connection.insert(value);
+      }
+    }
+    CHECK(connection == std::set<std::string>{"Sycamoreford-Leaving",
+                                              "Sycamoreford-Leaving-Until"});
+    for (const auto& [name, value] :
+         HttpRelayCodec::EncodeResponse(200, response.fields).fields) {
+      CAPTURE(name);
+      CHECK(name.empty());
+    }
+  }
   SECTION("that names a leaving endpoint") {
     HttpRelayCodec::MarkLeaving(response, {"i-7f3a", 1'790'000'000'000});
     CHECK(response.fields.Get("Sycamoreford-Leaving") ==
