Look at all parts of a prompt when endpoints crash

Cause: bounds that dropped a fact uncounted. Only the first eight parts were decoded. Behind that limit, 256 suspects were kept, fewer than one crash may bring, and the excess was dropped by id in the middle of noting a crash; 16 reports were repeated in the order of ids, so that with more suspects the others were told once; and 1,024 sound parts are three long prompts.

Now all parts count. Reports go out by suspicion, unsent ones before repeats, at most 16 at once in 400 ms whatever number of requests a crash ended. 8,192 sound parts are remembered. A line of the log holds 16 parts and the number of the others.

platform_codec_test had asserted that parts behind the eighth are dropped, which is the fault. In its place it asserts that all of 1,000 are decoded, and that a line of the log stays short.

--- a/include/sycamoreford/adapters/quarantine_guard.h
+++ b/include/sycamoreford/adapters/quarantine_guard.h
@@ -80,6 +80,14 @@
   [[nodiscard]] std::size_t quarantined_part_count() const;
   /// Number of requests that are quarantined as a whole.
   [[nodiscard]] std::size_t quarantined_request_count() const;
+  /// As `RequestQuarantine::suspected_part_count`.
+  [[nodiscard]] std::size_t suspected_part_count() const {
+    return quarantine_.suspected_part_count();
+  }
+  /// As `RequestQuarantine::dropped_count`.
+  [[nodiscard]] std::uint64_t dropped_count() const noexcept {
+    return quarantine_.dropped_count();
+  }
 
   /// The number that stands for a run in reports.
   [[nodiscard]] static EndpointRun RunOf(const EndpointRunId& run);
@@ -92,14 +100,28 @@
   static constexpr std::chrono::seconds kRepeatTime{5};
   /// Interval between two reports on a quarantined trait without news.
   static constexpr std::chrono::seconds kReminderInterval{2};
-  /// Maximum number of reports with one status message.
+  /// Maximum number of reports with one status message; reminders take half of
+  /// them at most.
   static constexpr std::size_t kMaxDueReports = 16;
+  /// Maximum number of reports that are sent at once in each `kNewsInterval`.
+  /// The others follow with the next status messages, since a crash concerns
+  /// the parts of many requests.
+  static constexpr std::size_t kMaxNewsReports = 16;
+  static constexpr std::chrono::milliseconds kNewsInterval{400};
 
   struct Told {
     TimePoint news_at{};
     TimePoint sent_at{};
+
+    [[nodiscard]] bool HasUnsentNews() const noexcept {
+      return sent_at < news_at;
+    }
   };
 
+  /// Traits with news that are to be told or repeated, in this order.
+  [[nodiscard]] std::vector<RequestTrait> TraitsWithNews(TimePoint now) const;
+  /// Whether a further report may be sent at once.
+  [[nodiscard]] bool MayTellNow(TimePoint now);
   void TellNews(const std::vector<RequestTrait>& traits, TimePoint now);
   void LogChanges();
   /// Logs an event as `prompt_part_EVENT` or, if a whole request is among the
@@ -115,6 +137,9 @@
   /// Groups of quarantined traits as last logged.
   std::vector<std::vector<RequestTrait>> logged_groups_;
   Notifier notify_peers_;
+  /// Start of the current `kNewsInterval`, and reports sent in it.
+  TimePoint news_interval_at_{};
+  std::size_t news_reports_ = 0;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -231,6 +231,10 @@
     context.traits.assign(context.request.shared_parts.begin(),
                           context.request.shared_parts.end());
     context.traits.emplace_back(context.fingerprint);
+    std::sort(context.traits.begin(), context.traits.end());
+    context.traits.erase(
+        std::unique(context.traits.begin(), context.traits.end()),
+        context.traits.end());
     const auto caller_timeout =
         context.request.caller_timeout.value_or(context.route->time_limit);
     context.deadline = context.arrived_at +
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -17,9 +18,6 @@
 
 /// The parts of a caller's request that the router uses.
 struct RelayRequest {
-  /// Bounds the memory and log space that one request can use.
-  static constexpr std::size_t kMaxSharedParts = 8;
-
   /// Id of the request; unique over all callers.
   std::string id;
   std::string host;
@@ -30,8 +28,7 @@
   /// How long the caller will wait, if the request states it.
   std::optional<std::chrono::milliseconds> caller_timeout;
   std::uint32_t prompt_tokens = 0;
-  /// The first parts of the prompt that other requests may share, at most
-  /// `kMaxSharedParts`.
+  /// The parts of the prompt that other requests may share, in order.
   std::vector<PromptPartId> shared_parts;
   /// Id of the last event that the caller received; empty for a new stream.
   std::string last_event_id;
@@ -169,7 +166,11 @@
   kTimedOut,
 };
 
+/// Maximum number of prompt parts in one line of the log.
+inline constexpr std::size_t kMaxPrintedParts = 16;
+
 /// Formats the ids of prompt parts for logs: hexadecimal, separated by commas.
+/// Beyond `kMaxPrintedParts`, `+N` tells how many more there are.
 [[nodiscard]] std::string ToString(const std::vector<PromptPartId>& parts);
 
 /// Formats a fingerprint for logs: hexadecimal.
--- a/include/sycamoreford/relay/request_quarantine.h
+++ b/include/sycamoreford/relay/request_quarantine.h
@@ -103,10 +103,11 @@
   /// How long a trial is reserved; longer than it takes to connect.
   static constexpr std::chrono::milliseconds kTrialReservation{500};
   /// Maximum number of suspected prompt parts, and of suspected whole requests;
-  /// the least suspicious one is dropped.
-  static constexpr std::size_t kMaxTraits = 256;
+  /// the least suspicious ones are dropped. One crash suspects all parts of all
+  /// requests that the endpoint had begun, several hundred each.
+  static constexpr std::size_t kMaxTraits = 4'096;
   /// Maximum number of sound prompt parts that are remembered.
-  static constexpr std::size_t kMaxSoundParts = 1'024;
+  static constexpr std::size_t kMaxSoundParts = 8'192;
   /// Maximum number of sound whole requests that are remembered.
   static constexpr std::size_t kMaxSoundRequests = 4'096;
   /// Maximum number of crashes in a report, the latest ones; it has to fit into
@@ -150,7 +151,7 @@
   /// Called when an endpoint run crashed while it began to respond to a request
   /// with these traits.
   ///
-  /// \returns the traits for which this is news.
+  /// \returns the traits for which this is news, the most suspicious first.
   std::vector<RequestTrait> OnCrash(const std::vector<RequestTrait>& traits,
                                     EndpointRun run,
                                     TimePoint now);
@@ -172,8 +173,18 @@
   /// The report on a trait; nothing if it is not suspected.
   [[nodiscard]] std::optional<TraitReport> ReportOn(const RequestTrait& trait,
                                                     TimePoint now) const;
+  /// Sorts traits: those that are suspected and were never sound first, then
+  /// those with more crashes.
+  void SortBySuspicion(std::vector<RequestTrait>& traits) const;
+
   /// Suspected traits.
   [[nodiscard]] std::vector<RequestTrait> traits() const;
+  /// Number of suspected prompt parts.
+  [[nodiscard]] std::size_t suspected_part_count() const;
+  /// Number of suspected traits that were dropped for lack of room.
+  [[nodiscard]] std::uint64_t dropped_count() const noexcept {
+    return dropped_count_;
+  }
   /// Quarantined traits; those of one element are only refused together.
   [[nodiscard]] const std::vector<std::vector<RequestTrait>>& groups()
       const noexcept {
@@ -184,15 +195,17 @@
   using Suspect = TraitEvidence;
   using Crashes = TraitEvidence::Crashes;
 
-  Suspect& SuspectFor(const RequestTrait& trait, TimePoint now);
+  Suspect& SuspectFor(const RequestTrait& trait);
   [[nodiscard]] SoundHistory& SoundHistoryFor(const RequestTrait& trait) {
     return IsWholeRequest(trait) ? sound_requests_ : sound_parts_;
   }
-  /// Makes room for a further trait of the same kind. Precondition: there is
-  /// one of this kind.
-  void DropLeastSuspicious(const RequestTrait& trait);
-  /// Number of suspected traits of the same kind.
-  [[nodiscard]] std::size_t CountOfKind(const RequestTrait& trait) const;
+  /// Drops the least suspicious traits of each kind beyond `kMaxTraits`.
+  /// `Evaluate` must be called afterwards.
+  void DropExcess(TimePoint now);
+  /// Drops the `count` least suspicious traits of a kind.
+  void DropLeastSuspicious(bool is_whole_request, std::size_t count);
+  /// Drops old evidence, without evaluating the rest.
+  void ForgetOld(TimePoint now);
   /// Determines `groups_` from the evidence.
   void Evaluate();
   /// Adds a group to `groups_`, or one for each whole request in it, since no
@@ -225,6 +238,7 @@
   /// since whole requests would displace the prompt parts.
   SoundHistory sound_parts_{kMaxSoundParts};
   SoundHistory sound_requests_{kMaxSoundRequests};
+  std::uint64_t dropped_count_ = 0;
 };
 
 }  // namespace sycamoreford
--- a/src/adapters/quarantine_guard.cc
+++ b/src/adapters/quarantine_guard.cc
@@ -48,8 +48,8 @@
     return !quarantine_.ReportOn(it.first, now);
   });
   std::vector<TraitReport> reports;
-  const auto add = [&](const RequestTrait& trait) {
-    if (reports.size() < kMaxDueReports) {
+  const auto add = [&](const RequestTrait& trait, std::size_t max_count) {
+    if (reports.size() < max_count) {
       reports.push_back(*quarantine_.ReportOn(trait, now));
       told_[trait].sent_at = now;
     }
@@ -57,16 +57,40 @@
   for (const auto& group : quarantine_.groups()) {
     for (const RequestTrait& trait : group) {
       if (now - told_[trait].sent_at >= kReminderInterval) {
-        add(trait);
+        add(trait, kMaxDueReports / 2);
       }
     }
   }
+  for (const RequestTrait& trait : TraitsWithNews(now)) {
+    add(trait, kMaxDueReports);
+  }
+  return reports;
+}
+
+std::vector<RequestTrait> QuarantineGuard::TraitsWithNews(TimePoint now) const {
+  std::vector<RequestTrait> unsent;
+  std::vector<std::pair<TimePoint, RequestTrait>> sent;
   for (const auto& [trait, told] : told_) {
-    if (now - told.news_at < kRepeatTime && told.sent_at != now) {
-      add(trait);
+    if (told.HasUnsentNews()) {
+      unsent.push_back(trait);
+    } else if (now - told.news_at < kRepeatTime && told.sent_at != now) {
+      sent.emplace_back(told.sent_at, trait);
     }
   }
-  return reports;
+  quarantine_.SortBySuspicion(unsent);
+  std::sort(sent.begin(), sent.end());
+  for (const auto& [sent_at, trait] : sent) {
+    unsent.push_back(trait);
+  }
+  return unsent;
+}
+
+bool QuarantineGuard::MayTellNow(TimePoint now) {
+  if (now - news_interval_at_ >= kNewsInterval) {
+    news_interval_at_ = now;
+    news_reports_ = 0;
+  }
+  return news_reports_ < kMaxNewsReports;
 }
 
 std::vector<TraitReport> QuarantineGuard::QuarantineReports(
@@ -113,9 +137,14 @@
     if (!report) {
       continue;
     }
-    told_[trait] = {.news_at = now, .sent_at = now};
-    if (notify_peers_) {
-      notify_peers_(*report);
+    Told& told = told_[trait];
+    told.news_at = now;
+    if (MayTellNow(now)) {
+      ++news_reports_;
+      told.sent_at = now;
+      if (notify_peers_) {
+        notify_peers_(*report);
+      }
     }
   }
 }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -1,5 +1,6 @@
 #include "sycamoreford/relay/relay_request.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace sycamoreford {
@@ -50,9 +51,12 @@
 
 std::string ToString(const std::vector<PromptPartId>& parts) {
   std::ostringstream text;
-  text << std::hex;
-  for (const PromptPartId part : parts) {
-    text << (text.tellp() == 0 ? "" : ",") << part.value();
+  const std::size_t count = std::min(parts.size(), kMaxPrintedParts);
+  for (std::size_t i = 0; i < count; ++i) {
+    text << (i == 0 ? "" : ",") << std::hex << parts[i].value();
+  }
+  if (count < parts.size()) {
+    text << ",+" << std::dec << parts.size() - count;
   }
   return text.str();
 }
--- a/src/relay/request_quarantine.cc
+++ b/src/relay/request_quarantine.cc
@@ -147,13 +147,17 @@
     TimePoint now) {
   std::vector<RequestTrait> news;
   for (const RequestTrait& trait : traits) {
-    Suspect& suspect = SuspectFor(trait, now);
+    Suspect& suspect = SuspectFor(trait);
     suspect.last_request = std::max(suspect.last_request, now);
     if (suspect.AddCrash(run, now)) {
       news.push_back(trait);
     }
   }
+  DropExcess(now);
   Evaluate();
+  std::erase_if(news,
+                [&](const auto& trait) { return !suspects_.contains(trait); });
+  SortBySuspicion(news);
   return news;
 }
 
@@ -186,7 +190,7 @@
   if (!suspects_.contains(report.trait) && report.crashes.empty()) {
     return;
   }
-  Suspect& suspect = SuspectFor(report.trait, now);
+  Suspect& suspect = SuspectFor(report.trait);
   suspect.last_request =
       std::max(suspect.last_request, now - report.request_age);
   if (report.trial_age) {
@@ -198,18 +202,12 @@
   if (report.sound_age) {
     suspect.ApplySound(now - *report.sound_age);
   }
+  DropExcess(now);
   Evaluate();
 }
 
 RequestQuarantine::Suspect& RequestQuarantine::SuspectFor(
-    const RequestTrait& trait,
-    TimePoint now) {
-  if (!suspects_.contains(trait) && CountOfKind(trait) >= kMaxTraits) {
-    Expire(now);
-    while (CountOfKind(trait) >= kMaxTraits) {
-      DropLeastSuspicious(trait);
-    }
-  }
+    const RequestTrait& trait) {
   const auto [entry, is_new] = suspects_.try_emplace(trait);
   if (is_new) {
     entry->second.last_sound = SoundHistoryFor(trait).Find(trait);
@@ -217,21 +215,62 @@
   return entry->second;
 }
 
-std::size_t RequestQuarantine::CountOfKind(const RequestTrait& trait) const {
-  return static_cast<std::size_t>(std::count_if(
-      suspects_.begin(), suspects_.end(),
-      [&](const auto& it) { return it.first.index() == trait.index(); }));
+void RequestQuarantine::DropExcess(TimePoint now) {
+  if (suspects_.size() <= kMaxTraits) {
+    return;
+  }
+  ForgetOld(now);
+  const std::size_t parts = suspected_part_count();
+  const std::size_t requests = suspects_.size() - parts;
+  DropLeastSuspicious(false, std::max(parts, kMaxTraits) - kMaxTraits);
+  DropLeastSuspicious(true, std::max(requests, kMaxTraits) - kMaxTraits);
 }
 
-void RequestQuarantine::DropLeastSuspicious(const RequestTrait& trait) {
-  const auto rank = [&](const auto& entry) {
-    return std::tuple(entry.first.index() != trait.index(),
-                      IsInGroup(entry.first), entry.second.crashes.size(),
-                      entry.second.LastEvidence());
-  };
-  suspects_.erase(std::min_element(
-      suspects_.begin(), suspects_.end(),
-      [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
+void RequestQuarantine::DropLeastSuspicious(bool is_whole_request,
+                                            std::size_t count) {
+  if (count == 0) {
+    return;
+  }
+  using Suspicion = std::tuple<bool, std::size_t, bool, TimePoint>;
+  std::vector<std::pair<Suspicion, RequestTrait>> ranked;
+  for (const auto& [trait, suspect] : suspects_) {
+    if (IsWholeRequest(trait) == is_whole_request) {
+      ranked.emplace_back(
+          Suspicion(IsInGroup(trait), suspect.crashes.size(),
+                    !suspect.last_sound.has_value(), suspect.LastEvidence()),
+          trait);
+    }
+  }
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(ranked.begin(), end, ranked.end());
+  std::for_each(ranked.begin(), end,
+                [&](const auto& it) { suspects_.erase(it.second); });
+  dropped_count_ += count;
+}
+
+void RequestQuarantine::SortBySuspicion(
+    std::vector<RequestTrait>& traits) const {
+  std::vector<std::pair<std::pair<bool, std::size_t>, RequestTrait>> ranked;
+  ranked.reserve(traits.size());
+  for (const RequestTrait& trait : traits) {
+    const auto found = suspects_.find(trait);
+    ranked.emplace_back(found == suspects_.end()
+                            ? std::pair(false, std::size_t{0})
+                            : std::pair(!found->second.last_sound,
+                                        found->second.crashes.size()),
+                        trait);
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::transform(ranked.begin(), ranked.end(), traits.begin(),
+                 [](const auto& it) { return it.second; });
+}
+
+std::size_t RequestQuarantine::suspected_part_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [](const auto& it) { return !IsWholeRequest(it.first); }));
 }
 
 bool RequestQuarantine::IsInGroup(const RequestTrait& trait) const {
@@ -313,6 +352,11 @@
 }
 
 void RequestQuarantine::Expire(TimePoint now) {
+  ForgetOld(now);
+  Evaluate();
+}
+
+void RequestQuarantine::ForgetOld(TimePoint now) {
   for (auto& [trait, suspect] : suspects_) {
     if (!IsInGroup(trait)) {
       std::erase_if(suspect.crashes, [&](const auto& crash) {
@@ -325,7 +369,6 @@
     return IsInGroup(entry.first) ? now - suspect.last_request > kQuietTime
                                   : now - suspect.LastEvidence() > kCrashMemory;
   });
-  Evaluate();
 }
 
 std::optional<TraitReport> RequestQuarantine::ReportOn(
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -302,12 +302,23 @@
       REQUIRE(shared_parts(",:7,e4402b7d:250").empty());
       REQUIRE(shared_parts("a,b,c") == "a,b");
 
-      SECTION("up to a limit") {
+      // Guards against a part that crashes endpoints behind the first ones.
+      SECTION("all of them, however many") {
+        HttpRequest other;
         std::string header;
-        for (int i = 0; i < 1'000; ++i) {
-          header += "a:1,";
+        std::vector<PromptPartId> expected;
+        for (std::uint64_t i = 1; i <= 1'000; ++i) {
+          header += ToString(std::vector{PromptPartId(i)}) + ":1,";
+          expected.emplace_back(i);
+        }
+        other.fields.Add("X-Attempt-Id", "r1");
+        other.fields.Add("X-Prompt-Prefix", header + "b:1");
+        REQUIRE(HttpRelayCodec::Decode(other)->shared_parts == expected);
+
+        THEN("a line of the log holds the first ones and tells how many more") {
+          REQUIRE(shared_parts(header) ==
+                  "1,2,3,4,5,6,7,8,9,a,b,c,d,e,f,10,+984");
         }
-        REQUIRE(shared_parts(header) == "a,a,a,a,a,a,a,a");
       }
       SECTION("with ids that are not 64-bit hexadecimal numbers") {
         const std::string long_id(17, 'f');
--- a/tests/prompt_quarantine_path_test.cc
+++ b/tests/prompt_quarantine_path_test.cc
@@ -243,6 +243,15 @@
     crashing = {part + ",d1:40"};
     sound = {"f1:800,d1:40", "f2:700,d1:40"};
   }
+  // Guards against parts that are not looked at, or crowded out by others.
+  SECTION("behind three hundred others") {
+    std::string others;
+    for (int i = 100; i < 400; ++i) {
+      others += "e" + std::to_string(i) + ":3,";
+    }
+    crashing = {others + part};
+    sound = {others + "d1:40", others + "d2:40", others + "d3:40"};
+  }
 
   Deployment deployment;
   const Load sound_load(deployment, milliseconds(40), sound);
--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -255,6 +255,47 @@
   }
 }
 
+/// `count` prompt parts with ids from `first` on.
+Parts PartsFrom(std::uint64_t first, std::size_t count) {
+  Parts parts;
+  for (std::size_t i = 0; i < count; ++i) {
+    parts.emplace_back(PromptPartId(first + i));
+  }
+  return parts;
+}
+
+// Guards against a cause that is crowded out by the other parts of prompts.
+TEST_CASE("a quarantine keeps the cause among the parts of long prompts") {
+  RequestQuarantine quarantine;
+  const Parts common = PartsFrom(1, 300);
+  quarantine.OnSound(common, At(0), At(0));
+  for (int crash = 1; crash <= 3; ++crash) {
+    const int ms = 600 * crash;
+    // Eight requests ran on the endpoint; each has 300 parts of its own.
+    for (std::uint64_t request = 0; request < 8; ++request) {
+      Parts parts = PartsFrom(
+          0x10000 * static_cast<unsigned>(crash) + 0x1000 * request, 300);
+      parts.insert(parts.end(), common.begin(), common.end());
+      if (request == 4) {
+        parts.push_back(kCulprit);
+      }
+      const auto news = quarantine.OnCrash(
+          parts, Run(static_cast<std::uint32_t>(crash)), At(ms));
+      if (request == 4) {
+        const auto at = std::find(news.begin(), news.end(), kCulprit);
+        REQUIRE(at != news.end());
+        // Those that were sound come last; with more crashes it is the first.
+        CHECK(at - news.begin() <= (crash == 1 ? 300 : 0));
+      }
+      CHECK(quarantine.traits().size() <= RequestQuarantine::kMaxTraits);
+    }
+  }
+  CHECK(quarantine.dropped_count() > 0);
+  CHECK(quarantine.IsQuarantined({kCulprit}));
+  CHECK_FALSE(quarantine.IsQuarantined(common));
+  CHECK(quarantine.suspected_part_count() == quarantine.traits().size());
+}
+
 /// Reports without the ages that differ by the time of the reports.
 std::vector<std::vector<EndpointRun>> RunsOf(
     const RequestQuarantine& quarantine,
