Take the last change of each entry of the store

Cause: the feed returns the removal of an entry and the entry that was written again after it in one response. The listing sorted them into entries and removals and lost their order; removals were applied last.

A listing now holds each id once, with its last change, so that there is no order to lose, neither for the daemon that reads nor for those that it tells.

--- a/include/sycamoreford/fleet/fleet_store.h
+++ b/include/sycamoreford/fleet/fleet_store.h
@@ -29,7 +29,9 @@
   bool has_gap = false;
 };
 
-/// Endpoints as read from the store: all of them, or those that changed.
+/// Endpoints as read from the store: all of them, or those that changed. An id
+/// occurs once, with the last of its changes, so that their order is not
+/// needed.
 struct EndpointListing {
   std::vector<EndpointRecord> endpoints;
   /// Ids that were removed, or whose rows could not be parsed.
