Tell of a trial whatever else was told before

Since reports are limited to 16 at once, a daemon that had just told of a crash would have told of a trial only with its next status message, up to 400 ms later, when another daemon may make the same trial.

Trials start a new interval, and the traits of their group, which have most crashes, are told first; NextTrial takes the latest trial of any of them. quarantine_guard_test, "tells of a trial whatever else it has just told".

--- a/src/adapters/quarantine_guard.cc
+++ b/src/adapters/quarantine_guard.cc
@@ -13,7 +13,13 @@
                               TimePoint now) {
   quarantine_.OnTrial(traits, now);
   Log(Severity::kInfo, "trial", traits);
-  TellNews(traits, now);
+  // Another daemon may be about to make the same trial; one trait of the group
+  // is enough to tell it.
+  news_interval_at_ = now;
+  news_reports_ = 0;
+  std::vector<RequestTrait> sorted = traits;
+  quarantine_.SortBySuspicion(sorted);
+  TellNews(sorted, now);
 }
 
 void QuarantineGuard::OnCrash(const std::vector<RequestTrait>& traits,
--- a/tests/quarantine_guard_test.cc
+++ b/tests/quarantine_guard_test.cc
@@ -63,6 +63,22 @@
     }
     CHECK(told.size() <= kMaxReports);
   }
+  SECTION("tells of a trial whatever else it has just told") {
+    guard.OnCrash({culprit}, "m1", EndpointRun(2),
+                  crashed_at + milliseconds(600));
+    guard.OnCrash({culprit}, "m1", EndpointRun(3),
+                  crashed_at + milliseconds(1'200));
+    const TimePoint now = crashed_at + milliseconds(2'400);
+    std::vector<RequestTrait> others;
+    for (std::uint64_t i = 0; i < kParts; ++i) {
+      others.emplace_back(PromptPartId(7'000 + i));
+    }
+    guard.OnCrash(others, "m2", EndpointRun(9), now);
+    told.clear();
+    guard.OnTrial(parts, now);
+    CHECK(std::find(told.begin(), told.end(), culprit) != told.end());
+    CHECK(told.size() <= kMaxReports);
+  }
   SECTION("still tells what is new while a quarantine of many is in force") {
     for (std::uint32_t run = 2; run <= 4; ++run) {
       guard.OnCrash(parts, "m1", EndpointRun(run),
