Suspect more requests than there is room for in a test

kMaxTraits is 4,096 since long prompts are looked at as a whole; the test added 2,000 requests and expected that only kMaxTraits were kept. It adds 1,000 more than kMaxTraits now; what it asserts is unchanged.

--- a/tests/whole_request_quarantine_test.cc
+++ b/tests/whole_request_quarantine_test.cc
@@ -186,11 +186,13 @@
 TEST_CASE("suspected requests do not displace suspected prompt parts") {
   RequestQuarantine quarantine;
   quarantine.OnCrash({kPart}, EndpointRun(1), At(0));
-  for (std::uint32_t i = 0; i < 2'000; ++i) {
+  constexpr auto kRequests =
+      static_cast<std::uint32_t>(RequestQuarantine::kMaxTraits) + 1'000;
+  for (std::uint32_t i = 0; i < kRequests; ++i) {
     quarantine.OnCrash({RequestFingerprint(10 + i)}, EndpointRun(2 + i),
                        At(static_cast<int>(i)));
   }
-  CHECK(quarantine.ReportOn(kPart, At(2'000)));
+  CHECK(quarantine.ReportOn(kPart, At(static_cast<int>(kRequests))));
   CHECK(quarantine.traits().size() == 1 + RequestQuarantine::kMaxTraits);
 }
 
