Give no order when another run answers at the address

Cause: the holder asks for a report before an order, and did not compare the start that it states with that of the run that it plans for.

Open: reports and orders name no run themselves.

--- a/include/sycamoreford/adapters/placement_service.h
+++ b/include/sycamoreford/adapters/placement_service.h
@@ -236,6 +236,11 @@
     state_.OnSent(change.accelerator_id, clock_.Now());
     const auto report = co_await control_.FetchReport(address);
     (void)NoteRetryAfter(run, report);
+    if (report && report->started_at_ms != run.started_at_ms) {
+      // Another endpoint has the address, or this one has started again.
+      NoteNotGiven(change.accelerator_id, "other_run");
+      co_return;
+    }
     const auto token = lease_.Token();
     if (!report || !token || report->is_busy) {
       NoteNotGiven(change.accelerator_id, !report  ? "no_report"
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -335,6 +335,15 @@
     }
   }
 
+  // Guards against an order for an endpoint that is gone, which another one
+  // gets that has its address by now.
+  SECTION("an endpoint of another run gets no order") {
+    fixture.endpoints.accelerators["10.0.0.1:0"].report.started_at_ms = 7;
+    fixture.context.run_for(milliseconds(2'200));
+    CHECK_FALSE(fixture.endpoints.orders.empty());
+    CHECK(
+        fixture.endpoints.accelerators["10.0.0.1:0"].report.layers.is_empty());
+  }
   // Guards against layers that are moved about since entries lapsed while the
   // store was away.
   SECTION(
