--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -274,7 +274,7 @@
     // Eight requests ran on the endpoint; each has 300 parts of its own.
     for (std::uint64_t request = 0; request < 8; ++request) {
       Parts parts = PartsFrom(
-          0x10000 * static_cast<unsigned>(crash) + 0x1000 * request, 300);
+          0x10000 * static_cast<std::uint64_t>(crash) + 0x1000 * request, 300);
       parts.insert(parts.end(), common.begin(), common.end());
       if (request == 4) {
         parts.push_back(kCulprit);
