--- a/review/6/copied_store.cc
+++ b/review/6/copied_store.cc
@@ -51,10 +51,10 @@
     booking.Round();
     SleepMs(1'000);
   }
-  booking.record.Add("served as every version allows: " +
-                     std::to_string(booking.served) +
-                     "; handled as only an older version than 30 allows: " +
-                     std::to_string(booking.by_older));
+  booking.record.Add(
+      "served as every version allows: " + std::to_string(booking.served) +
+      "; handled as only an older version than 30 allows: " +
+      std::to_string(booking.by_older));
   if (booking.served == 0) {
     return kCannotRun;
   }
--- a/review/support-2/booking.cc
+++ b/review/support-2/booking.cc
@@ -52,7 +52,8 @@
     for (const std::string service : {"old-app", "new-app"}) {
       replicas.push_back(std::make_unique<PlainReplica>(
           PlainReplica::Options{.id = "i-" + service + std::to_string(i),
-                                .service = service},
+                                .service = service,
+                                .work_ms = 60},
           store, record));
     }
   }
--- a/review/support-2/booking.h
+++ b/review/support-2/booking.h
@@ -33,8 +33,8 @@
   /// Whether all daemons serve a request with this route and key.
   bool IsServed(const std::string& route, const std::string& key);
   /// Sends one round of requests to all daemons, and counts those that every
-  /// version allows and are served, and those that are handled as only a version
-  /// before 30 allows.
+  /// version allows and are served, and those that are handled as only a
+  /// version before 30 allows.
   void Round();
 
   Record record;
--- a/review/support-2/engine_replica.cc
+++ b/review/support-2/engine_replica.cc
@@ -86,7 +86,8 @@
                      {"Sequence", ++heartbeats_},
                      {"born", born_}};
   if (to_ > from_) {
-    entry["Layers"] = json::object{{"From", from_}, {"To", to_}, {"Version", 1}};
+    entry["Layers"] =
+        json::object{{"From", from_}, {"To", to_}, {"Version", 1}};
   }
   return json::serialize(entry);
 }
@@ -178,11 +179,18 @@
   {
     const std::lock_guard lock(mutex_);
     FinishLoad();
-    json::object report{{"Stage", "unified"}, {"Busy", is_loading_},
-                        {"Sequence", sequence_}, {"Queued", 0},
-                        {"InFlight", 0}, {"KvUsed", 0}, {"KvTotal", 100'000},
-                        {"Handles", 0}, {"pace", 1.0}, {"born", born_},
-                        {"Stalled", json::array()}, {"Kind", options_.kind}};
+    json::object report{{"Stage", "unified"},
+                        {"Busy", is_loading_},
+                        {"Sequence", sequence_},
+                        {"Queued", 0},
+                        {"InFlight", 0},
+                        {"KvUsed", 0},
+                        {"KvTotal", 100'000},
+                        {"Handles", 0},
+                        {"pace", 1.0},
+                        {"born", born_},
+                        {"Stalled", json::array()},
+                        {"Kind", options_.kind}};
     if (to_ > from_) {
       report["Layers"] =
           json::object{{"From", from_}, {"To", to_}, {"Version", 1}};
@@ -252,13 +260,13 @@
 }
 
 void EngineReplica::Stream(const Message& request, Channel& channel) {
-  std::string headers = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                        "X-Attempt-Id: " +
-                        request.Header("x-attempt-id") +
-                        "\r\nX-Response-Seal: seal-" +
-                        request.Header("x-attempt-id") +
-                        "\r\nTransfer-Encoding: chunked\r\n"
-                        "Connection: close\r\n\r\n";
+  std::string headers =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "X-Attempt-Id: " +
+      request.Header("x-attempt-id") + "\r\nX-Response-Seal: seal-" +
+      request.Header("x-attempt-id") +
+      "\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n";
   if (!channel.Write(headers)) {
     return;
   }
@@ -293,11 +301,11 @@
   const std::string expected = request->Header("x-expect-replica");
   if ((!expected.empty() && expected != options_.id) ||
       !HoldsPart(request->Header("x-router-hops"))) {
-    channel.Write(FormatResponse(421,
-                                 "X-Not-Executed: 1\r\nX-Replica-Id: " +
-                                     options_.id + "\r\nAt-Server: " +
-                                     server_.address() + "\r\n",
-                                 ""));
+    channel.Write(
+        FormatResponse(421,
+                       "X-Not-Executed: 1\r\nX-Replica-Id: " + options_.id +
+                           "\r\nAt-Server: " + server_.address() + "\r\n",
+                       ""));
     return;
   }
   if (handler_ && handler_(*this, *request, channel)) {
--- a/review/support-2/engine_replica.h
+++ b/review/support-2/engine_replica.h
@@ -44,8 +44,7 @@
     int to = 0;
   };
   /// Handles a request instead of the replica; false to let it answer.
-  using Handler =
-      std::function<bool(EngineReplica&, const Message&, Channel&)>;
+  using Handler = std::function<bool(EngineReplica&, const Message&, Channel&)>;
 
   EngineReplica(Options options, Store& store, Record& record);
   ~EngineReplica();
--- a/review/support-2/http.cc
+++ b/review/support-2/http.cc
@@ -26,8 +26,8 @@
   const std::size_t colon = address.rfind(':');
   sockaddr_in result{};
   result.sin_family = AF_INET;
-  result.sin_port = htons(
-      static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+  result.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr);
   return result;
 }
@@ -35,8 +35,8 @@
 /// Waits until the socket can be read or written.
 bool Await(int socket, short events, Clock::time_point deadline) {
   for (;;) {
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        deadline - Clock::now());
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(deadline - Clock::now());
     if (left.count() <= 0) {
       return false;
     }
@@ -67,8 +67,8 @@
     const std::size_t end = first.rfind(' ');
     message.target = first.substr(space + 1, end - space - 1);
   } else {
-    message.status = static_cast<unsigned>(
-        std::atoi(first.substr(space + 1, 3).c_str()));
+    message.status =
+        static_cast<unsigned>(std::atoi(first.substr(space + 1, 3).c_str()));
   }
   while (at != std::string::npos && at + 2 < head.size()) {
     const std::size_t begin = at + 2;
@@ -112,7 +112,8 @@
     return {};
   }
   const std::size_t begin = at + name.size() + 2;
-  const std::string escaped = query.substr(begin, query.find('&', begin) - begin);
+  const std::string escaped =
+      query.substr(begin, query.find('&', begin) - begin);
   constexpr int kHexadecimal = 16;
   std::string value;
   for (std::size_t i = 0; i < escaped.size(); ++i) {
@@ -151,8 +152,8 @@
   std::string bytes = std::exchange(buffer_, {});
   std::size_t end = bytes.find("\r\n\r\n");
   while (end == std::string::npos) {
-    const std::string more = ReadSome(std::chrono::duration_cast<milliseconds>(
-        deadline - Clock::now()));
+    const std::string more = ReadSome(
+        std::chrono::duration_cast<milliseconds>(deadline - Clock::now()));
     if (more.empty()) {
       return std::nullopt;
     }
@@ -174,8 +175,8 @@
   const std::size_t size = length.empty() ? 0 : std::stoul(length);
   std::string body = std::exchange(buffer_, {});
   while (body.size() < size) {
-    const std::string more = ReadSome(std::chrono::duration_cast<milliseconds>(
-        deadline - Clock::now()));
+    const std::string more = ReadSome(
+        std::chrono::duration_cast<milliseconds>(deadline - Clock::now()));
     if (more.empty()) {
       return std::nullopt;
     }
@@ -190,8 +191,8 @@
 bool Channel::Write(const std::string& bytes) const {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
-    const ssize_t size = send(socket_, bytes.data() + sent, bytes.size() - sent,
-                              MSG_NOSIGNAL);
+    const ssize_t size =
+        send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (size <= 0) {
       return false;
     }
--- a/review/support-2/plain_replica.cc
+++ b/review/support-2/plain_replica.cc
@@ -42,7 +42,8 @@
         R"("Sequence":)" + std::to_string(++sequence) + R"(,"born":)" +
         std::to_string(born_) + "}";
     const bool is_written = store_.Write("servers", options_.id, entry);
-    for (int ms = 0; ms < (is_written ? kHeartbeatMs : kRetryMs) && !is_stopped_;
+    for (int ms = 0;
+         ms < (is_written ? kHeartbeatMs : kRetryMs) && !is_stopped_;
          ms += kRetryMs) {
       SleepMs(kRetryMs);
       if (is_written && store_.is_away()) {
@@ -66,8 +67,8 @@
     ++runs_[id];
   }
   record_.Add("replica " + options_.id + " of " + options_.service + " runs " +
-              id + " " + request.method + " " + request.target + " tenant=" +
-              request.Header("x-tenant-name"));
+              id + " " + request.method + " " + request.target +
+              " tenant=" + request.Header("x-tenant-name"));
 }
 
 void PlainReplica::Handle(Channel& channel) {
--- a/review/support-2/run.cc
+++ b/review/support-2/run.cc
@@ -86,8 +86,8 @@
   constexpr int kGraceS = 8;
   WriteSettings(kGraceS);
   const std::string program = options_.root + "/target/sycamore-relayd";
-  std::string setting = "SYCAMOREFORD_CONFIG=" + options_.folder + "/" +
-                        options_.name + ".conf";
+  std::string setting =
+      "SYCAMOREFORD_CONFIG=" + options_.folder + "/" + options_.name + ".conf";
   std::string path = "PATH=/usr/bin:/bin";
   std::vector<char*> environment{setting.data(), path.data(), nullptr};
   std::string option = "--metrics-port";
