Review: streams that end inside an event look complete at services without an engine

An answer with neither a length nor chunks that ends inside an event is passed on whole, with a length.

--- a/review/9/foreign_entry.cc
+++ b/review/9/foreign_entry.cc
@@ -50,6 +50,7 @@
     }
     SleepMs(250);
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&, i] {
         const Message answer =
--- a/review/support-2/engine_replica.cc
+++ b/review/support-2/engine_replica.cc
@@ -276,7 +276,7 @@
       return;
     }
     const std::string event = Event(request, id);
-    char size[16];
+    char size[24];
     std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
     if (!channel.Write(size + event + "\r\n")) {
       return;
--- a/review/support-2/plain_replica.cc
+++ b/review/support-2/plain_replica.cc
@@ -41,7 +41,8 @@
         R"(","Version":"v1","Slots":6,"State":"ready","ColdRemainingMs":0,)" +
         R"("Sequence":)" + std::to_string(++sequence) + R"(,"born":)" +
         std::to_string(born_) + "}";
-    const bool is_written = store_.Write("servers", options_.id, entry);
+    const bool is_written =
+        !sends_heartbeats_ || store_.Write("servers", options_.id, entry);
     for (int ms = 0;
          ms < (is_written ? kHeartbeatMs : kRetryMs) && !is_stopped_;
          ms += kRetryMs) {
--- a/review/support-2/plain_replica.h
+++ b/review/support-2/plain_replica.h
@@ -32,6 +32,8 @@
   PlainReplica& operator=(const PlainReplica&) = delete;
 
   void SetHandler(Handler handler) { handler_ = std::move(handler); }
+  /// Whether it reports to the store.
+  void SetHeartbeats(bool is_sent) { sends_heartbeats_ = is_sent; }
   /// Number of times that it has run the request with this id.
   int Runs(const std::string& id);
   void NoteRun(const Message& request);
@@ -49,6 +51,7 @@
   std::uint64_t born_;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
+  std::atomic<bool> sends_heartbeats_{true};
   std::atomic<bool> is_stopped_{false};
   Server server_;
   std::thread beat_;
