--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,7 +8,7 @@
 rm -f "$here/record.txt"
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-program=$root/target/review-2/lost_answer
+program=$root/target/review-2/copied_store
 [ -x "$program" ] && [ -x "$root/target/sycamore-relayd" ] || exit 2
 cd "$root" || exit 2
 timeout -k 5 110 "$program" "$root" "$folder" "$here/record.txt"
--- a/review/support-2/store.cc
+++ b/review/support-2/store.cc
@@ -14,8 +14,6 @@
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 /// Time that the store takes for an answer.
 constexpr int kAnswerMs = 4;
-/// Stands for an answer that is lost.
-constexpr const char* kLostAnswer = "lost";
 
 std::uint64_t ToNumber(const std::string& text) {
   return std::strtoull(text.c_str(), nullptr, 10);
@@ -158,25 +156,6 @@
   server_.SetAway(false);
 }
 
-void Store::ComeBack() {
-  {
-    const std::lock_guard lock(mutex_);
-    is_away_ = false;
-  }
-  server_.SetAway(false);
-}
-
-void Store::LoseOpenFeedAnswers(const std::string& table) {
-  const std::lock_guard lock(mutex_);
-  lossy_table_ = table;
-  lossy_until_ = calls_;
-}
-
-std::pair<int, int> Store::answers() {
-  const std::lock_guard lock(mutex_);
-  return {lost_answers_, answers_};
-}
-
 void Store::Handle(Channel& channel) {
   const auto request = channel.Read(true, milliseconds(5'000));
   if (!request) {
@@ -188,15 +167,7 @@
     channel.Reset();
     return;
   }
-  if (response == kLostAnswer) {
-    while (!channel.IsClosedByPeer() && !is_away()) {
-      SleepMs(kAnswerMs);
-    }
-    return;
-  }
   channel.Write(response);
-  const std::lock_guard lock(mutex_);
-  ++answers_;
 }
 
 std::string Store::Respond(const Message& request, const Channel& channel) {
@@ -274,7 +245,6 @@
       Clock::now() + milliseconds(ToNumber(request.Parameter("WaitMs")));
   std::unique_lock lock(mutex_);
   const std::uint64_t era = era_;
-  const std::uint64_t call = ++calls_;
   for (;;) {
     if (is_away_ || era != era_) {
       return {};
@@ -287,10 +257,6 @@
                  std::back_inserter(rows), [&](const Change& it) {
                    return it.table == table && it.version > after;
                  });
-    if (!rows.empty() && table == lossy_table_ && call <= lossy_until_) {
-      ++lost_answers_;
-      return kLostAnswer;
-    }
     if (!rows.empty() || Clock::now() >= deadline || channel.IsClosedByPeer()) {
       return Answer(200, Body(rows, false));
     }
--- a/review/support-2/store.h
+++ b/review/support-2/store.h
@@ -40,13 +40,6 @@
   /// other call.
   void ComeBackFromCopy(
       const std::vector<std::pair<std::string, std::string>>& first_writes);
-  /// Comes back with all that it has acknowledged.
-  void ComeBack();
-  /// Loses the answers to the calls of a table's feed that are open now, as far
-  /// as they bring changes: their channels deliver nothing further.
-  void LoseOpenFeedAnswers(const std::string& table);
-  /// Number of answers that it has lost, and of all.
-  std::pair<int, int> answers();
 
  private:
   struct Change {
@@ -82,12 +75,6 @@
   Content copy_;
   std::uint64_t era_ = 1;
   bool is_away_ = false;
-  /// Table of which the feed answers are lost, and the call up to which.
-  std::string lossy_table_;
-  std::uint64_t lossy_until_ = 0;
-  std::uint64_t calls_ = 0;
-  int lost_answers_ = 0;
-  int answers_ = 0;
   Server server_;
 };
 
