Count positions in the store's feed within an era only

Cause: after the restoration the store gives versions out again. The followers went on polling from their position of the era before; once the store had passed it, it answered 200 with later changes only, never 410. StoreClient did not read Store-Era.

Why it works: a position is now an era and a version, ordered by era first, and a poll that is answered in a later era has a gap, upon which all is read again. The poll of the list is answered each second and ends the pending one of the configuration, which the store would keep for 10 s. News between daemons name the era; a version before that does not is taken to be in the known one.

--- a/include/sycamoreford/adapters/endpoint_follower.h
+++ b/include/sycamoreford/adapters/endpoint_follower.h
@@ -22,6 +22,7 @@
 #include "sycamoreford/fleet/listed_endpoints.h"
 #include "sycamoreford/fleet/poll_times.h"
 #include "sycamoreford/fleet/store_feed.h"
+#include "sycamoreford/fleet/store_position.h"
 #include "sycamoreford/fleet/store_teller.h"
 
 namespace sycamoreford {
@@ -56,7 +57,7 @@
       }
       feed_.OnTry(clock_.Now());
       const auto position =
-          needs_all ? std::optional<std::uint64_t>() : feed_.position();
+          needs_all ? std::optional<StorePosition>() : feed_.position();
       Result<EndpointListing> listing = co_await Next(position);
       if (!listing) {
         teller_.OnStoreLost();
@@ -79,17 +80,21 @@
         co_await Pause(kStaleReadRetryDelay);
         continue;
       }
-      const std::uint64_t newest = listing->position;
+      const StorePosition newest = listing->position;
+      const bool is_new_era = NoteEra(newest);
       Apply(std::move(*listing), !position);
       feed_.OnRead(newest);
       teller_.OnRead(newest, listed_.digest(), clock_.Now());
       needs_all = false;
+      if (is_new_era && notify_regained_) {
+        notify_regained_();
+      }
       co_await Pause(PollDelay());
     }
   }
 
   /// Sets the function that is called when a read has reached the store after
-  /// one that did not.
+  /// one that did not, or in a new era.
   void SetRegainedNotifier(std::function<void()> notify) {
     notify_regained_ = std::move(notify);
   }
@@ -105,7 +110,7 @@
     EndpointListing listing;
     listing.endpoints = news.changed;
     listing.removed = news.removed;
-    listing.position = news.position;
+    listing.position = feed_.newest();
     if (!news.changed.empty() || !news.removed.empty()) {
       Apply(std::move(listing), false, news.may_return);
     }
@@ -145,6 +150,10 @@
     }
   }
 
+  /// Latest era of the store that is known from the list of endpoints.
+  [[nodiscard]] std::uint64_t era() const noexcept {
+    return feed_.newest().era;
+  }
   /// Whether a list of endpoints is known, from the store or from a peer.
   [[nodiscard]] bool has_endpoints() const noexcept { return has_endpoints_; }
   /// Whether the store did not answer the last read.
@@ -196,6 +205,21 @@
         std::uniform_int_distribution<int>(0, kMaxSpreadMs)(random));
   }
 
+  /// Checks whether the store has begun a new era since the last read. It then
+  /// lacks entries that were written before and will be written again.
+  bool NoteEra(StorePosition position) {
+    if (!feed_.position() || position.era <= era()) {
+      return false;
+    }
+    connection_.OnNewEra(clock_.Now());
+    LogEvent(Severity::kWarning, "store_era")
+        .With("before", era())
+        .With("now", position.era)
+        .With("version_before", feed_.newest().version)
+        .With("version", position.version);
+    return true;
+  }
+
   /// Whether this daemon reads the store for others.
   [[nodiscard]] bool ReadsForAll() const {
     return state_.duty().IsShared() && IsReader();
@@ -217,7 +241,7 @@
   }
 
   boost::asio::awaitable<Result<EndpointListing>> Next(
-      std::optional<std::uint64_t> position) {
+      std::optional<StorePosition> position) {
     if (position) {
       co_return co_await store_.AwaitEndpoints(*position, MaxWait());
     }
@@ -267,8 +291,8 @@
 
   void Apply(EndpointListing listing, bool is_whole, bool may_return = false) {
     const TimePoint now = clock_.Now();
-    may_return = may_return ||
-                 connection_.HasFailedWithin(kExpiredAnnouncementGrace, now);
+    may_return =
+        may_return || connection_.HadGapWithin(kExpiredAnnouncementGrace, now);
     Note(listing, is_whole, may_return);
     const Duration grace =
         may_return ? Duration(kExpiredAnnouncementGrace) : Duration::zero();
@@ -291,7 +315,7 @@
       LogEvent(Severity::kInfo, "endpoints_changed")
           .With("changes", changes)
           .With("known", directory.endpoints().size())
-          .With("position", listing.position)
+          .With("position", listing.position.version)
           .With("whole", is_whole ? "yes" : "no");
     }
   }
--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -20,6 +20,7 @@
 #include "sycamoreford/core/log.h"
 #include "sycamoreford/fleet/ahead_daemons.h"
 #include "sycamoreford/fleet/fleet_store.h"
+#include "sycamoreford/fleet/store_position.h"
 
 namespace sycamoreford {
 
@@ -42,7 +43,7 @@
 
   /// Follows the configuration; does not return.
   boost::asio::awaitable<void> FollowManifest() {
-    std::optional<std::uint64_t> position;
+    std::optional<StorePosition> position;
     StoreConnection connection("configuration");
     bool is_position_old = false;
     for (;;) {
@@ -54,13 +55,19 @@
         // The store may not have the history since then any more.
         position.reset();
       }
+      if (position && position->era < endpoints_.era()) {
+        co_await Pause(kEraReadDelay);
+        position.reset();
+      }
       state_.configuration_wait().OnAsked(clock_.Now());
       const TimePoint asked_at = clock_.Now();
       std::optional<Result<ManifestListing>> response =
           co_await NextManifest(position, connection);
       if (!response) {
         LogEvent(Severity::kInfo, "configuration_poll_ended")
-            .With("reason", "store_regained")
+            .With("reason", position && position->era < endpoints_.era()
+                                ? "store_era"
+                                : "store_regained")
             .With("after_ms", clock_.Now() - asked_at);
         continue;
       }
@@ -87,7 +94,8 @@
       }
       // The position never decreases: after a response from a stale replica,
       // the next poll starts at the known position again.
-      position = std::max(position.value_or(0), listing->position);
+      position =
+          std::max(position.value_or(listing->position), listing->position);
     }
   }
 
@@ -231,6 +239,9 @@
   static constexpr std::chrono::milliseconds kMaxReaderWait{1'500};
   /// Interval at which is checked whether other daemons still tell.
   static constexpr std::chrono::milliseconds kFedCheckInterval{100};
+  /// Delay before a full read in a new era, so that reads of a store that still
+  /// responds in an earlier one are not too frequent.
+  static constexpr std::chrono::milliseconds kEraReadDelay{100};
   /// Another daemon's poll may return a configuration this much earlier.
   static constexpr std::chrono::milliseconds kCatchUpDelay{300};
   static constexpr std::chrono::milliseconds kCatchUpPollInterval{20};
@@ -287,9 +298,9 @@
   }
 
   /// \returns nothing if the poll was ended because it may have been sent while
-  ///     the store did not answer.
+  ///     the store did not answer, or in an earlier era.
   boost::asio::awaitable<std::optional<Result<ManifestListing>>> NextManifest(
-      std::optional<std::uint64_t> position,
+      std::optional<StorePosition> position,
       const StoreConnection& connection) {
     if (position) {
       co_return co_await manifest_poll_.Run(
--- a/include/sycamoreford/adapters/store_connection.h
+++ b/include/sycamoreford/adapters/store_connection.h
@@ -31,7 +31,7 @@
           .With("reason", failure.where);
     }
     is_lost_ = true;
-    last_failure_at_ = now;
+    last_gap_at_ = now;
     const auto backoff = std::min(
         kMinBackoff * (1U << std::min(failed_calls_, 3U)), kMaxBackoff);
     ++failed_calls_;
@@ -49,13 +49,17 @@
     failed_calls_ = 0;
   }
 
+  /// The store came back from an older copy: some entries are missing until
+  /// they are written again, as after an outage.
+  void OnNewEra(TimePoint now) { last_gap_at_ = now; }
+
   /// Whether the last call has failed.
   [[nodiscard]] bool is_lost() const noexcept { return is_lost_; }
 
-  /// Whether a call has failed within `time`.
-  [[nodiscard]] bool HasFailedWithin(std::chrono::milliseconds time,
-                                     TimePoint now) const {
-    return last_failure_at_ != TimePoint{} && now < last_failure_at_ + time;
+  /// Whether a call has failed or a new era has begun within `time`.
+  [[nodiscard]] bool HadGapWithin(std::chrono::milliseconds time,
+                                  TimePoint now) const {
+    return last_gap_at_ != TimePoint{} && now < last_gap_at_ + time;
   }
 
   /// Time that a poll waits for changes after one that has failed: a response
@@ -72,7 +76,7 @@
 
   std::string_view name_;
   bool is_lost_ = false;
-  TimePoint last_failure_at_{};
+  TimePoint last_gap_at_{};
   std::uint32_t failed_calls_ = 0;
 };
 
--- a/include/sycamoreford/fleet/fleet_store.h
+++ b/include/sycamoreford/fleet/fleet_store.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <concepts>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,6 +11,7 @@
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/failure.h"
 #include "sycamoreford/fleet/endpoint_record.h"
+#include "sycamoreford/fleet/store_position.h"
 #include "sycamoreford/relay/manifest.h"
 
 namespace sycamoreford {
@@ -23,9 +23,9 @@
   /// Time that it took to decode it.
   Duration decode_time{0};
   /// Position in the feed of changes from which to wait for further ones.
-  std::uint64_t position = 0;
-  /// Whether changes before `position` were lost, so that the configuration has
-  /// to be read in full again.
+  StorePosition position;
+  /// Whether changes before `position` were lost, or the store has begun a new
+  /// era, so that the configuration has to be read in full again.
   bool has_gap = false;
 };
 
@@ -37,7 +37,7 @@
   /// Ids that were removed, or whose rows could not be parsed.
   std::vector<std::string> removed;
   /// As in `ManifestListing`.
-  std::uint64_t position = 0;
+  StorePosition position;
   bool has_gap = false;
 };
 
@@ -46,9 +46,10 @@
 /// - `Read…` returns the full listing, or `kTableUnavailable` when the store
 ///   does not respond.
 /// - `Await…` returns when something changed after `position`, or after `wait`.
+///   If the store is in a later era by then, the listing has a gap.
 template <class T>
 concept FleetStore = requires(T& store,
-                              std::uint64_t position,
+                              StorePosition position,
                               std::chrono::milliseconds wait) {
   {
     store.ReadManifest()
--- a/include/sycamoreford/fleet/store_feed.h
+++ b/include/sycamoreford/fleet/store_feed.h
@@ -6,6 +6,7 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/store_news.h"
+#include "sycamoreford/fleet/store_position.h"
 
 namespace sycamoreford {
 
@@ -37,15 +38,16 @@
   }
 
   /// This daemon has read the store itself, up to `position`.
-  void OnRead(std::uint64_t position);
+  void OnRead(StorePosition position);
 
-  /// Takes news.
+  /// Takes news. A position without an era is of the era of the last one that
+  /// is known.
   ///
   /// \returns whether the changes in it are to be applied: not if they are
   ///     older than what is known.
   [[nodiscard]] bool OnNews(const StoreNews& news, TimePoint now);
 
-  /// Called after news were applied.
+  /// Called after news for which `OnNews` returned true were applied.
   ///
   /// \param digest of the list that results.
   void OnApplied(const StoreNews& news, std::uint64_t digest, TimePoint now);
@@ -64,18 +66,18 @@
   }
 
   /// Highest position of which anything is known.
-  [[nodiscard]] std::uint64_t newest() const noexcept { return newest_; }
+  [[nodiscard]] StorePosition newest() const noexcept { return newest_; }
 
   /// Position from which to read changes: up to it the list is known to be
   /// right. Nothing before the first read.
-  [[nodiscard]] const std::optional<std::uint64_t>& position() const noexcept {
+  [[nodiscard]] const std::optional<StorePosition>& position() const noexcept {
     return verified_;
   }
 
  private:
   /// Highest position of which changes were applied.
-  std::uint64_t newest_ = 0;
-  std::optional<std::uint64_t> verified_;
+  StorePosition newest_;
+  std::optional<StorePosition> verified_;
   /// When news that were not older than what is known last came.
   std::optional<TimePoint> heard_at_;
   std::optional<TimePoint> lost_at_;
--- a/include/sycamoreford/fleet/store_news.h
+++ b/include/sycamoreford/fleet/store_news.h
@@ -5,13 +5,15 @@
 #include <vector>
 
 #include "sycamoreford/fleet/endpoint_record.h"
+#include "sycamoreford/fleet/store_position.h"
 
 namespace sycamoreford {
 
 /// What a daemon that reads the store tells the others.
 struct StoreNews {
-  /// Position in the feed of endpoints that the sender has read up to.
-  std::uint64_t position = 0;
+  /// Position in the feed of endpoints that the sender has read up to. Era 0 if
+  /// the sender does not know eras.
+  StorePosition position;
   /// `ListedEndpoints::digest` at this position.
   std::uint64_t digest = 0;
   /// Revision of the configuration in force at the sender.
--- a/include/sycamoreford/fleet/store_teller.h
+++ b/include/sycamoreford/fleet/store_teller.h
@@ -11,6 +11,7 @@
 
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/fleet/store_news.h"
+#include "sycamoreford/fleet/store_position.h"
 
 namespace sycamoreford {
 
@@ -33,7 +34,7 @@
   static constexpr std::size_t kChangesPerMessage = 5;
 
   /// The store has answered a read.
-  void OnRead(std::uint64_t position, std::uint64_t digest, TimePoint now);
+  void OnRead(StorePosition position, std::uint64_t digest, TimePoint now);
   /// The store has not answered a read.
   void OnStoreLost() { is_lost_ = true; }
   /// An entry has changed.
@@ -60,7 +61,7 @@
 
   void Forget();
 
-  std::uint64_t position_ = 0;
+  StorePosition position_;
   std::uint64_t digest_ = 0;
   std::optional<TimePoint> read_at_;
   bool is_lost_ = false;
--- a/src/fleet/store_feed.cc
+++ b/src/fleet/store_feed.cc
@@ -4,9 +4,9 @@
 
 namespace sycamoreford {
 
-void StoreFeed::OnRead(std::uint64_t position) {
+void StoreFeed::OnRead(StorePosition position) {
   newest_ = std::max(newest_, position);
-  verified_ = std::max(verified_.value_or(0), position);
+  verified_ = std::max(verified_.value_or(position), position);
   differs_since_.reset();
   has_answered_ = true;
 }
@@ -16,10 +16,13 @@
     lost_at_ = now;
     return false;
   }
-  if (!verified_ || news.position < newest_) {
+  const StorePosition position = {
+      .era = news.position.era == 0 ? newest_.era : news.position.era,
+      .version = news.position.version};
+  if (!verified_ || position < newest_) {
     return false;
   }
-  newest_ = news.position;
+  newest_ = position;
   heard_at_ = now;
   lost_at_.reset();
   return true;
@@ -29,7 +32,7 @@
                           std::uint64_t digest,
                           TimePoint now) {
   if (digest == news.digest) {
-    verified_ = std::max(verified_.value_or(0), news.position);
+    verified_ = newest_;
     differs_since_.reset();
   } else {
     differs_since_ = differs_since_.value_or(now);
--- a/src/fleet/store_teller.cc
+++ b/src/fleet/store_teller.cc
@@ -12,7 +12,7 @@
   changed_since_.reset();
 }
 
-void StoreTeller::OnRead(std::uint64_t position,
+void StoreTeller::OnRead(StorePosition position,
                          std::uint64_t digest,
                          TimePoint now) {
   position_ = std::max(position_, position);
--- a/src/impl/peer_json.cc
+++ b/src/impl/peer_json.cc
@@ -202,7 +202,11 @@
 }
 
 json::object ToJson(const StoreNews& news) {
-  json::object object = {{"news", news.position}, {"revision", news.revision}};
+  json::object object = {{"news", news.position.version},
+                         {"revision", news.revision}};
+  if (news.position.era != 0) {
+    object["era"] = news.position.era;
+  }
   if (news.is_store_lost) {
     object["store_lost"] = true;
     return object;
@@ -224,7 +228,10 @@
 
 StoreNews ToStoreNews(const json::object& object) {
   StoreNews news;
-  news.position = object.at("news").to_number<std::uint64_t>();
+  news.position.version = object.at("news").to_number<std::uint64_t>();
+  if (const json::value* era = object.if_contains("era")) {
+    news.position.era = era->to_number<std::uint64_t>();
+  }
   news.revision = object.at("revision").to_number<std::uint64_t>();
   if (object.contains("store_lost")) {
     news.is_store_lost = true;
--- a/tests/fakes/outage_store.h
+++ b/tests/fakes/outage_store.h
@@ -46,17 +46,18 @@
   }
 
   boost::asio::awaitable<Result<ManifestListing>> ReadManifest() {
-    return AwaitManifest(0, std::chrono::milliseconds(0));
+    return AwaitManifest({}, std::chrono::milliseconds(0));
   }
 
   boost::asio::awaitable<Result<ManifestListing>> AwaitManifest(
-      std::uint64_t position,
+      StorePosition position,
       std::chrono::milliseconds wait) {
     ++configuration_calls_;
     const TimePoint sent_at = clock_.Now();
     bool is_lost = silence_ != Silence::kNone;
     while (!is_lost && !refuses_configuration_ &&
-           manifest_position_ <= position && clock_.Now() - sent_at < wait) {
+           manifest_position_ <= position.version &&
+           clock_.Now() - sent_at < wait) {
       co_await Pause(kTick);
     }
     is_lost = is_lost || silence_ != Silence::kNone;
@@ -69,20 +70,20 @@
       co_return Refusal();
     }
     ManifestListing listing;
-    if (manifest_position_ > position) {
+    if (manifest_position_ > position.version) {
       listing.manifest = manifest_;
     }
-    listing.position = position_;
+    listing.position.version = position_;
     co_return listing;
   }
 
   boost::asio::awaitable<Result<EndpointListing>> ReadEndpoints() {
-    return AwaitEndpoints(0, std::chrono::milliseconds(0));
+    return AwaitEndpoints({}, std::chrono::milliseconds(0));
   }
 
   /// Endpoints renew their entries each second.
   boost::asio::awaitable<Result<EndpointListing>> AwaitEndpoints(
-      std::uint64_t /*position*/,
+      StorePosition /*position*/,
       std::chrono::milliseconds wait) {
     const TimePoint sent_at = clock_.Now();
     bool is_lost = silence_ == Silence::kAll;
@@ -95,7 +96,7 @@
       co_return LostResponse();
     }
     EndpointListing listing;
-    listing.position = position_;
+    listing.position.version = position_;
     co_return listing;
   }
 
--- a/tests/fleet_loops_test.cc
+++ b/tests/fleet_loops_test.cc
@@ -57,7 +57,7 @@
     ++full_manifest_reads;
     co_return co_await Next(manifests);
   }
-  asio::awaitable<Result<ManifestListing>> AwaitManifest(std::uint64_t,
+  asio::awaitable<Result<ManifestListing>> AwaitManifest(StorePosition,
                                                          milliseconds) {
     while (polls_hang) {
       co_await Pause(milliseconds(5));
@@ -68,7 +68,7 @@
     ++full_endpoint_reads;
     co_return co_await Next(endpoints);
   }
-  asio::awaitable<Result<EndpointListing>> AwaitEndpoints(std::uint64_t,
+  asio::awaitable<Result<EndpointListing>> AwaitEndpoints(StorePosition,
                                                           milliseconds wait) {
     endpoint_wait = wait;
     co_return co_await Next(endpoints);
@@ -107,7 +107,7 @@
                         std::vector<std::string> removed = {}) {
   EndpointListing listing;
   listing.endpoints = std::move(records);
-  listing.position = position;
+  listing.position.version = position;
   listing.removed = std::move(removed);
   return listing;
 }
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -33,24 +33,29 @@
 }
 
 /// The changes that the client reads from a feed with these rows.
-EndpointListing Read(json::array rows) {
+///
+/// \param field further header field of the response, with its line end.
+EndpointListing Read(json::array rows,
+                     StorePosition position = {.version = 1},
+                     const std::string& field = "") {
   asio::io_context context{1};
   fakes::ScriptedEndpoint store(context);
   const std::string body = json::serialize(
       json::object{{"ObjectVersion", 99}, {"Rows", std::move(rows)}});
-  store.AddScript({fakes::Send("HTTP/1.1 200 OK\r\nContent-Length: " +
-                               std::to_string(body.size()) + "\r\n\r\n" + body),
-                   fakes::Close()});
+  store.AddScript(
+      {fakes::Send("HTTP/1.1 200 OK\r\n" + field + "Content-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body),
+       fakes::Close()});
   platform::StoreClient client(store.address());
   EndpointListing listing;
-  asio::co_spawn(context, client.AwaitEndpoints(1, milliseconds(100)),
+  asio::co_spawn(context, client.AwaitEndpoints(position, milliseconds(100)),
                  [&](const std::exception_ptr&, auto result) {
                    REQUIRE(result.has_value());
                    listing = *result;
                    context.stop();
                  });
   context.run_for(milliseconds(2'000));
-  REQUIRE(listing.position == 99);
+  REQUIRE(listing.position.version == 99);
   return listing;
 }
 
@@ -79,5 +84,26 @@
   }
 }
 
+TEST_CASE("a feed in another era than the position") {
+  const auto read = [](const std::string& field) {
+    return Read({Entry("a", 98)}, {.era = 3, .version = 90}, field);
+  };
+  SECTION("has a gap if it is later") {
+    const auto listing = read("Store-Era: 4\r\n");
+    CHECK(listing.has_gap);
+    CHECK(listing.position == StorePosition{.era = 4, .version = 99});
+  }
+  SECTION("has none if it is the same") {
+    const auto listing = read("Store-Era: 3\r\n");
+    CHECK_FALSE(listing.has_gap);
+    CHECK(listing.position == StorePosition{.era = 3, .version = 99});
+  }
+  SECTION("is older than what is known if it is earlier") {
+    const auto listing = read("store-era: 2\r\n");
+    CHECK_FALSE(listing.has_gap);
+    CHECK(listing.position < StorePosition{.era = 3, .version = 0});
+  }
+}
+
 }  // namespace
 }  // namespace sycamoreford
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -21,7 +21,7 @@
 TEST_CASE("those who read the store are turned away by it") {
   StoreFeed feed{milliseconds(500)};
   feed.OnTry(kStart);
-  feed.OnRead(10);
+  feed.OnRead({.version = 10});
   CHECK_FALSE(feed.OnNews(Lost(), kStart));
 
   SECTION("a daemon that is served reads on, as often as without them") {
@@ -42,7 +42,7 @@
 TEST_CASE("those who read the store tell") {
   StoreFeed feed{milliseconds(0)};
   StoreNews news;
-  news.position = 12;
+  news.position = {.version = 12};
   news.digest = 5;
 
   SECTION("is not relied on before the list was read once") {
@@ -50,21 +50,47 @@
     CHECK_FALSE(feed.Covers(kStart));
   }
   SECTION("is relied on for a second") {
-    feed.OnRead(10);
+    feed.OnRead({.version = 10});
     REQUIRE(feed.OnNews(news, kStart));
     feed.OnApplied(news, 5, kStart);
     CHECK(feed.Covers(kStart + milliseconds(999)));
     CHECK_FALSE(feed.Covers(kStart + milliseconds(1'000)));
-    CHECK(feed.position() == 12U);
+    CHECK(feed.position() == StorePosition{.version = 12});
   }
   SECTION("is not relied on while the lists differ") {
-    feed.OnRead(10);
+    feed.OnRead({.version = 10});
     REQUIRE(feed.OnNews(news, kStart));
     feed.OnApplied(news, 4, kStart);
     CHECK(feed.Covers(kStart + milliseconds(299)));
     CHECK_FALSE(feed.Covers(kStart + milliseconds(300)));
     // What was told is read again.
-    CHECK(feed.position() == 10U);
+    CHECK(feed.position() == StorePosition{.version = 10});
+  }
+}
+
+// Guards against news that are taken for old as versions are given out again.
+TEST_CASE("those who read the store tell of a new era") {
+  StoreFeed feed{milliseconds(0)};
+  feed.OnRead({.era = 1, .version = 10});
+  StoreNews news;
+  news.digest = 5;
+
+  SECTION("its positions come after all before") {
+    news.position = {.era = 2, .version = 7};
+    REQUIRE(feed.OnNews(news, kStart));
+    feed.OnApplied(news, 5, kStart);
+    CHECK(feed.position() == StorePosition{.era = 2, .version = 7});
+  }
+  SECTION("news of an earlier era are not taken") {
+    feed.OnRead({.era = 2, .version = 7});
+    news.position = {.era = 1, .version = 11};
+    CHECK_FALSE(feed.OnNews(news, kStart));
+  }
+  SECTION("a daemon that does not know eras is in the same one") {
+    news.position = {.version = 12};
+    REQUIRE(feed.OnNews(news, kStart));
+    feed.OnApplied(news, 5, kStart);
+    CHECK(feed.position() == StorePosition{.era = 1, .version = 12});
   }
 }
 
--- a/tests/store_news_test.cc
+++ b/tests/store_news_test.cc
@@ -33,6 +33,7 @@
 
 /// The list in the store.
 struct Store {
+  std::uint64_t era = 1;
   std::uint64_t position = 1;
   std::map<std::string, EndpointRecord> records;
   std::map<std::string, std::uint64_t> changed_at;
@@ -47,6 +48,12 @@
     records.erase(id);
     changed_at[id] = ++position;
   }
+  /// Comes back from a copy, in a new era.
+  void Restore(const Store& copy) {
+    const std::uint64_t next_era = era + 1;
+    *this = copy;
+    era = next_era;
+  }
 };
 
 /// What `EndpointFollower` does with the decisions, without sockets.
@@ -65,7 +72,16 @@
       teller.OnStoreLost();
       return;
     }
-    const std::uint64_t after = feed.position().value_or(0);
+    const StorePosition known = feed.position().value_or(StorePosition{});
+    const bool is_whole = known.era < store.era;
+    const std::uint64_t after = is_whole ? 0 : known.version;
+    if (is_whole) {
+      for (const std::string& id : list.Ids()) {
+        if (!store.records.contains(id) && list.Remove(id)) {
+          teller.OnRemoved(id, true, now);
+        }
+      }
+    }
     for (const auto& [id, at] : store.changed_at) {
       if (at <= after) {
         continue;
@@ -79,8 +95,9 @@
         teller.OnChanged(found->second, now);
       }
     }
-    feed.OnRead(store.position);
-    teller.OnRead(store.position, list.digest(), now);
+    feed.OnRead({.era = store.era, .version = store.position});
+    teller.OnRead({.era = store.era, .version = store.position}, list.digest(),
+                  now);
   }
 
   void Take(const StoreNews& news, TimePoint now) {
@@ -281,7 +298,9 @@
   }
   SECTION("is not undone by a reader that is behind") {
     // It tells what stood in the store a second ago.
-    StoreNews old = {.position = fleet.store.position, .digest = 7};
+    StoreNews old = {
+        .position = {.era = fleet.store.era, .version = fleet.store.position},
+        .digest = 7};
     old.changed = {Record(1, 80)};
     change();
     fleet.RunFor(milliseconds(500));
@@ -313,6 +332,35 @@
   }
 }
 
+// Guards against readers whose news seem older than what is known, as the store
+// gives out versions again.
+TEST_CASE("when the store comes back from a copy") {
+  Fleet fleet(195);
+  fleet.store.Set(Record(1, 40));
+  fleet.RunFor(milliseconds(1'000));
+  const Store copy = fleet.store;
+  fleet.store.Set(Record(1, 20));
+  fleet.store.Set(Record(2, 20));
+  fleet.RunFor(milliseconds(1'000));
+  REQUIRE(fleet.Current() == 195);
+  fleet.store.Restore(copy);
+  fleet.store.reads = 0;
+
+  SECTION("all know its list soon") {
+    fleet.RunFor(milliseconds(1'500));
+    CHECK(fleet.Current() == 195);
+  }
+  SECTION("and what has changed in it since") {
+    fleet.store.Set(Record(1, 60));
+    fleet.RunFor(milliseconds(1'500));
+    CHECK(fleet.Current() == 195);
+  }
+  SECTION("few read it") {
+    fleet.RunFor(milliseconds(1'500));
+    CHECK(fleet.store.reads < 195);
+  }
+}
+
 TEST_CASE("positions and lists do not go back, whatever happens to messages") {
   const bool holds = rc::check([] {
     const auto count = *rc::gen::element<std::size_t>(20, 40);
@@ -321,7 +369,7 @@
       fleet.store.Set(Record(i, 40));
     }
     fleet.RunFor(milliseconds(1'000));
-    std::vector<std::uint64_t> newest(count);
+    std::vector<StorePosition> newest(count);
     const int rounds = *rc::gen::inRange(1, 8);
     for (int round = 0; round < rounds; ++round) {
       fleet.store.Set(Record(*rc::gen::inRange(0, 12),
@@ -357,7 +405,8 @@
 
 TEST_CASE("news as datagrams") {
   PeerMessage message;
-  message.news = StoreNews{.position = 7, .digest = 0xffffffffffffffffU};
+  message.news = StoreNews{.position = {.era = 1'000, .version = 7},
+                           .digest = 0xffffffffffffffffU};
   message.news->revision = 3;
   for (int i = 0; i < static_cast<int>(StoreTeller::kChangesPerMessage); ++i) {
     EndpointRecord record = Record(i, 40);
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -38,7 +38,7 @@
     co_return ManifestListing{};
   }
   static boost::asio::awaitable<Result<ManifestListing>> AwaitManifest(
-      std::uint64_t,
+      StorePosition,
       std::chrono::milliseconds) {
     return ReadManifest();
   }
@@ -47,7 +47,7 @@
     co_return EndpointListing{};
   }
   static boost::asio::awaitable<Result<EndpointListing>> AwaitEndpoints(
-      std::uint64_t,
+      StorePosition,
       std::chrono::milliseconds) {
     return ReadEndpoints();
   }
