Hold a lease within an era of the store only

What callers saw: nothing that a run has shown; endpoints may refuse all orders of a holder (412), or take orders of two holders with the same fencing number, after the store came back from a copy.

Cause: the fencing number is the one in the row plus one, and the row may be from before a takeover; the condition of a renewal names a version that the store may give out again.

Evidence: lease_client_test with the code before, 41 of 15,627 checks failed: a holder goes on after the restoration, two hold at once, tokens are not greater than earlier ones. None fails now, at 39 moments and with copies of all ages.

Why it works: in a new era nobody holds the lease until its row was unchanged for a whole time of a lease, and numbers of an era begin at the era times 2^20. Where the store states no era nothing changes.

--- a/include/sycamoreford/lease/lease_client.h
+++ b/include/sycamoreford/lease/lease_client.h
@@ -27,6 +27,7 @@
   ///
   /// \param write_id unique over all daemons; used when a write is due.
   boost::asio::awaitable<void> Step(const std::string& write_id) {
+    machine_.OnEra(EraOf(table_));
     switch (machine_.NextStep(clock_.Now())) {
       case LeaseMachine::Step::kWait:
         co_return;
@@ -56,7 +57,9 @@
   /// Fencing token to send with an order; empty if this daemon does not hold
   /// the lease. Must be read right before each send.
   [[nodiscard]] std::optional<FencingToken> Token() const {
-    return machine_.TokenAt(clock_.Now());
+    return EraOf(table_) > machine_.era() && machine_.era() != 0
+               ? std::nullopt
+               : machine_.TokenAt(clock_.Now());
   }
 
   [[nodiscard]] const LeaseMachine& machine() const noexcept {
@@ -68,6 +71,7 @@
     TableRead read;
     read.keys.push_back(LeaseRowKey(machine_.name()));
     auto rows = co_await table_.Read(read);
+    machine_.OnEra(EraOf(table_));
     if (!rows) {
       machine_.OnReadFailed(clock_.Now());
       co_return;
@@ -83,6 +87,7 @@
     const TableTransaction transaction =
         machine_.BeginWrite(write_id, clock_.Now());
     auto committed = co_await table_.Commit(transaction);
+    machine_.OnEra(EraOf(table_));
     std::optional<bool> answer;
     if (committed) {
       answer = *committed;
--- a/include/sycamoreford/lease/lease_machine.h
+++ b/include/sycamoreford/lease/lease_machine.h
@@ -51,6 +51,10 @@
 /// counts the TTL from before it started the write. The fencing token is
 /// incremented in the transaction that grants the lease.
 ///
+/// A lease holds within an era of the table only, as a table that comes back
+/// from an older copy may lack it. Tokens of a later era are greater than all
+/// before.
+///
 /// Thread safety: none.
 class LeaseMachine {
  public:
@@ -93,6 +97,11 @@
   [[nodiscard]] TableTransaction BeginWrite(const std::string& write_id,
                                             TimePoint now);
 
+  /// The table is in this era; 0 if it states none. In a new one, this daemon
+  /// no longer holds the lease, and forgets the row.
+  void OnEra(std::uint64_t era);
+  [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
+
   /// A read that ended at `now` found this row; empty if there is none.
   void OnRow(const std::optional<TableRow>& row, TimePoint now);
   /// The read failed.
@@ -121,6 +130,13 @@
   [[nodiscard]] std::optional<TableTransaction> Release(TimePoint now);
 
  private:
+  /// Fencing tokens of one era; more than there are changes of the holder.
+  static constexpr std::uint64_t kTokensPerEra = 1UL << 20;
+
+  /// Whether this daemon has written the row as last read, in this era.
+  [[nodiscard]] bool IsOwn() const noexcept;
+  /// The token of the next acquisition.
+  [[nodiscard]] FencingToken NextToken() const noexcept;
   /// Whether the lease was free at the last read.
   [[nodiscard]] bool MayAcquire() const noexcept;
   /// When the lease expires unless its holder renews it.
@@ -132,6 +148,7 @@
   std::string holder_;
   LeaseTimes times_;
   State state_ = State::kWatching;
+  std::uint64_t era_ = 0;
   TimePoint next_read_at_{};
   /// The row as last read, and since when it has been unchanged.
   std::optional<std::uint64_t> observed_version_;
--- a/include/sycamoreford/table/table_client.h
+++ b/include/sycamoreford/table/table_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -26,4 +27,18 @@
   { table.Commit(tx) } -> std::same_as<boost::asio::awaitable<Result<bool>>>;
 };
 
+/// Latest era that a table has stated, if its client tells; 0 otherwise.
+///
+/// A table that comes back from an older copy of itself begins a new era: rows
+/// that were written since are gone, and their versions are given out again.
+template <TableClient Table>
+[[nodiscard]] std::uint64_t EraOf(const Table& table) {
+  if constexpr (requires {
+                  { table.era() } -> std::convertible_to<std::uint64_t>;
+                }) {
+    return table.era();
+  }
+  return 0;
+}
+
 }  // namespace sycamoreford
--- a/include/sycamoreford/table/table_types.h
+++ b/include/sycamoreford/table/table_types.h
@@ -8,8 +8,8 @@
 namespace sycamoreford {
 
 /// A row of the platform's table. Its version increases with each write and is
-/// never reused, not even after a deletion. Version 0 means that the row does
-/// not exist.
+/// not reused within an era, not even after a deletion. Version 0 means that
+/// the row does not exist.
 struct TableRow {
   std::string key;
   std::string value;
--- a/src/lease/lease_machine.cc
+++ b/src/lease/lease_machine.cc
@@ -68,11 +68,8 @@
 
 TableTransaction LeaseMachine::BeginWrite(const std::string& write_id,
                                           TimePoint now) {
-  const bool renews =
-      observed_.holder == holder_ && observed_.fencing == fencing_;
   pending_write_.holder = holder_;
-  pending_write_.fencing =
-      renews ? fencing_ : FencingToken(observed_.fencing.value() + 1);
+  pending_write_.fencing = IsOwn() ? fencing_ : NextToken();
   pending_write_.write_id = write_id;
   write_started_at_ = now;
   is_fresh_ = false;
@@ -85,6 +82,33 @@
   return transaction;
 }
 
+bool LeaseMachine::IsOwn() const noexcept {
+  return observed_.holder == holder_ && observed_.fencing == fencing_ &&
+         fencing_.value() >= era_ * kTokensPerEra;
+}
+
+FencingToken LeaseMachine::NextToken() const noexcept {
+  return FencingToken(
+      std::max(observed_.fencing.value(), era_ * kTokensPerEra) + 1);
+}
+
+void LeaseMachine::OnEra(std::uint64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  const bool is_first = era_ == 0;
+  era_ = era;
+  if (is_first || state_ == State::kReleased) {
+    return;
+  }
+  observed_version_.reset();
+  observed_ = {};
+  is_fresh_ = false;
+  held_until_ = {};
+  next_read_at_ = {};
+  state_ = State::kWatching;
+}
+
 void LeaseMachine::OnRow(const std::optional<TableRow>& row, TimePoint now) {
   if (state_ == State::kReleased) {
     return;
@@ -104,8 +128,7 @@
   }
   is_fresh_ = true;
   last_read_at_ = now;
-  const bool is_own =
-      observed_.holder == holder_ && observed_.fencing == fencing_;
+  const bool is_own = IsOwn();
   next_read_at_ =
       now + (is_own ? times_.renewal_interval : times_.poll_interval);
   const bool polls_often =
--- a/tests/fakes/fake_table.h
+++ b/tests/fakes/fake_table.h
@@ -60,6 +60,32 @@
     return true;
   }
 
+  /// Rows and versions at present.
+  struct Copy {
+    std::map<std::string, TableRow> rows;
+    std::uint64_t newest_version = 0;
+  };
+  Copy TakeCopy() const {
+    const std::lock_guard lock(mutex_);
+    return {rows_, newest_version_};
+  }
+  /// Comes back from a copy, in a new era.
+  void Restore(const Copy& copy) {
+    const std::lock_guard lock(mutex_);
+    rows_ = copy.rows;
+    newest_version_ = copy.newest_version;
+    ++era_;
+  }
+  std::uint64_t era() const {
+    const std::lock_guard lock(mutex_);
+    return era_;
+  }
+  /// Makes the table state eras from now on.
+  void StateEras() {
+    const std::lock_guard lock(mutex_);
+    era_ = 1;
+  }
+
   /// Number of reads so far.
   std::size_t reads() const {
     const std::lock_guard lock(mutex_);
@@ -75,6 +101,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, TableRow> rows_;
   std::uint64_t newest_version_ = 0;
+  std::uint64_t era_ = 0;
   std::size_t reads_ = 0;
   std::size_t commits_ = 0;
 };
--- a/tests/fakes/faulty_table.h
+++ b/tests/fakes/faulty_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -61,6 +62,8 @@
     late_commits_.erase(chosen);
   }
 
+  [[nodiscard]] std::uint64_t era() const { return table_.era(); }
+
   /// Number of calls so far.
   [[nodiscard]] std::size_t calls() const noexcept { return calls_; }
 
--- a/tests/lease_client_test.cc
+++ b/tests/lease_client_test.cc
@@ -97,6 +97,70 @@
   }
 }
 
+// Guards against a token that is given out twice, and against a holder whose
+// renewal meets a version that was given out again.
+TEST_CASE("a lease when the table comes back from a copy") {
+  TwoDaemons daemons;
+  daemons.rows.StateEras();
+
+  SECTION("from before it was first taken") {
+    const auto copy = daemons.rows.TakeCopy();
+    for (int second = 0; second < 10; ++second) {
+      REQUIRE(daemons.AdvanceOneSecond());
+    }
+    const FencingToken token = daemons.newest_token;
+    REQUIRE(token > FencingToken(0));
+    daemons.rows.Restore(copy);
+    CHECK_FALSE(daemons.a.Token().has_value());
+    CHECK_FALSE(daemons.b.Token().has_value());
+    for (int second = 0; second < 60; ++second) {
+      REQUIRE(daemons.AdvanceOneSecond());
+    }
+    CHECK(daemons.newest_token > token);
+  }
+  SECTION("from before another daemon took it over") {
+    for (int second = 0; second < 10; ++second) {
+      REQUIRE(daemons.AdvanceOneSecond());
+    }
+    const bool a_holds = daemons.a.Token().has_value();
+    const auto copy = daemons.rows.TakeCopy();
+    auto& cut_off = a_holds ? daemons.table_a : daemons.table_b;
+    cut_off.SetFault(TableFault::kUnavailable);
+    for (int second = 0; second < 60; ++second) {
+      REQUIRE(daemons.AdvanceOneSecond());
+    }
+    const FencingToken token = daemons.newest_token;
+    REQUIRE((a_holds ? daemons.b : daemons.a).Token() == token);
+    cut_off.SetFault(TableFault::kNone);
+    daemons.rows.Restore(copy);
+    for (int second = 0; second < 60; ++second) {
+      REQUIRE(daemons.AdvanceOneSecond());
+    }
+    CHECK(daemons.newest_token > token);
+    CHECK((daemons.a.Token() || daemons.b.Token()));
+  }
+  SECTION("at any moment, from a copy of any age") {
+    for (int moment = 1; moment < 40; ++moment) {
+      TwoDaemons pair;
+      pair.rows.StateEras();
+      FakeTable::Copy copy = pair.rows.TakeCopy();
+      for (int second = 0; second < 120; ++second) {
+        const FencingToken before = pair.newest_token;
+        if (second == moment / 2) {
+          copy = pair.rows.TakeCopy();
+        }
+        if (second == moment) {
+          pair.rows.Restore(copy);
+          CHECK_FALSE((pair.a.Token() || pair.b.Token()));
+        }
+        REQUIRE(pair.AdvanceOneSecond());
+        REQUIRE(pair.newest_token >= before);
+      }
+      REQUIRE((pair.a.Token() || pair.b.Token()));
+    }
+  }
+}
+
 TEST_CASE("a released lease is acquired without waiting for its expiry") {
   TwoDaemons daemons;
   for (int second = 0; second < 5; ++second) {
