Write a daemon's row again when the store came back from a copy

A daemon that had started since the copy was taken was unknown to the others, which neither counted nor believed it, until it renewed its row: up to 12 s, longer with more than 20 daemons.

Any call to the store shows the new era, so that the row is back within the half second in which the loop looks; it costs one write for each daemon and era.

--- a/include/sycamoreford/adapters/roster_service.h
+++ b/include/sycamoreford/adapters/roster_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
@@ -40,7 +41,7 @@
     TimePoint renew_at{};
     started_at_ = clock_.Now();
     for (;;) {
-      if (clock_.Now() >= renew_at && co_await RenewRow()) {
+      if ((clock_.Now() >= renew_at || IsRowLost()) && co_await RenewRow()) {
         renew_at = clock_.Now() + roster_.renewal_interval();
       }
       is_count_requested_ = false;
@@ -52,7 +53,7 @@
       const TimePoint next = clock_.Now() + roster_.read_interval();
       do {
         co_await Pause(kMinCountInterval * state_.interval_factor());
-      } while (clock_.Now() < next && !is_count_requested_);
+      } while (clock_.Now() < next && !is_count_requested_ && !IsRowLost());
     }
   }
 
@@ -76,10 +77,18 @@
   /// succeeds.
   static constexpr std::chrono::milliseconds kStartupCountInterval{500};
 
+  /// Whether the table may lack the row, as it has begun a new era.
+  [[nodiscard]] bool IsRowLost() const {
+    return EraOf(table_) > written_in_era_;
+  }
+
   boost::asio::awaitable<bool> RenewRow() {
     TableTransaction transaction;
     transaction.writes.push_back({key_, address_});
     const auto written = co_await table_.Commit(transaction);
+    if (written) {
+      written_in_era_ = EraOf(table_);
+    }
     if (!written) {
       LogEvent(Severity::kWarning, "roster_not_renewed")
           .With("reason", written.error().where);
@@ -122,6 +131,7 @@
   bool is_count_settled_ = false;
   bool is_count_requested_ = false;
   TimePoint started_at_{};
+  std::uint64_t written_in_era_ = 0;
 };
 
 }  // namespace sycamoreford
