Serve streams of plain services as streams

Cause: EndpointAttempt read the whole body, and took the end of the connection for the end of the body. StreamAttempt, for services with an engine, looks for an event that is not complete. These streams were also passed on only when they were whole.

Why it works: EndpointStreamAttempt is a StreamAttempt at one endpoint, served by ChainForwarder as those at chains and other daemons are. An event that is not complete counts as a break: the stream goes on elsewhere if its route allows it, and is cut off for the caller if not.

--- a/include/sycamoreford/adapters/chain_attempt_opener.h
+++ b/include/sycamoreford/adapters/chain_attempt_opener.h
@@ -10,6 +10,8 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "sycamoreford/adapters/chain_attempt.h"
+#include "sycamoreford/adapters/endpoint_selection.h"
+#include "sycamoreford/adapters/endpoint_stream_attempt.h"
 #include "sycamoreford/adapters/peer_attempt.h"
 #include "sycamoreford/adapters/peer_forwarding.h"
 #include "sycamoreford/adapters/stream_progress.h"
@@ -18,12 +20,14 @@
 
 namespace sycamoreford {
 
-/// Chooses where a request to a model service is sent: to a chain, or through
-/// another daemon.
+/// Chooses where a request is sent that is served by attempts that may be
+/// resumed: to a chain of a model service, to an endpoint of a plain one, or
+/// through another daemon.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
-class ChainAttemptOpener : protected PeerForwarding<Codec, TheClock> {
+class ChainAttemptOpener : protected EndpointSelection<Codec, TheClock> {
+  using Selection = EndpointSelection<Codec, TheClock>;
   using Processor = PeerForwarding<Codec, TheClock>;
 
  protected:
@@ -36,10 +40,10 @@
 
   /// Precondition: `state` and `clock` outlive this object.
   ChainAttemptOpener(RelayState& state, const TheClock& clock)
-      : Processor(state, clock) {}
+      : Selection(state, clock) {}
 
-  /// Starts to send the request to a chain, or through another daemon if this
-  /// one has no chain.
+  /// Starts to send the request to a chain or an endpoint, or through another
+  /// daemon if this one has none.
   ///
   /// \param position position in the stream after which it goes on.
   /// \param reserved_share share of the chain's room to leave free.
@@ -56,15 +60,15 @@
     std::shared_ptr<Attempt> attempt;
     const bool is_isolated = state_.is_isolated();
     if (!is_isolated) {
-      attempt = OpenChainAttempt(executor, request, context, position,
-                                 reserved_share);
+      attempt =
+          OpenOwnAttempt(executor, request, context, position, reserved_share);
     }
     if (!attempt && (is_isolated || LacksChains(context))) {
       attempt = OpenPeerAttempt(executor, request, context, position);
     }
     if (!attempt && is_isolated) {
-      attempt = OpenChainAttempt(executor, request, context, position,
-                                 reserved_share);
+      attempt =
+          OpenOwnAttempt(executor, request, context, position, reserved_share);
     }
     return attempt;
   }
@@ -118,6 +122,8 @@
   using Processor::OnSentFor;
   using Processor::PickUnlikeOthers;
   using Processor::TryAcquireSend;
+  using Selection::AcquireEndpoint;
+  using Selection::EncodeForEndpoint;
 
   /// Whether the request may not be sent to further endpoints.
   [[nodiscard]] static bool MayOnlyBeRetried(const RequestContext& context) {
@@ -162,7 +168,60 @@
     return options;
   }
 
-  /// Whether this daemon has no chain that it can connect to.
+  std::shared_ptr<Attempt> OpenOwnAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      const EventSplitter& position,
+      double reserved_share) {
+    if (context.service->engine) {
+      return OpenChainAttempt(executor, request, context, position,
+                              reserved_share);
+    }
+    return OpenEndpointAttempt(executor, request, context, position);
+  }
+
+  /// Starts to send the request to an endpoint of a plain service.
+  ///
+  /// \param position position in the stream after which the endpoint goes on.
+  /// \returns null if the request may not be sent or no endpoint can take it.
+  std::shared_ptr<Attempt> OpenEndpointAttempt(
+      const boost::asio::any_io_executor& executor,
+      const HttpRequest& request,
+      RequestContext& context,
+      EventSplitter position) {
+    if (MayOnlyBeRetried(context)) {
+      context.last_denial = "max_attempts";
+      return nullptr;
+    }
+    const auto record = AcquireEndpoint(context);
+    if (!record) {
+      return nullptr;
+    }
+    position.Restart();
+    HttpRequest encoded = EncodeForEndpoint(
+        request, context, record->id,
+        position.event_count() > 0 ? position.last_id() : std::string());
+    return std::make_shared<EndpointStreamAttempt<Codec, TheClock>>(
+        state_, clock_, executor,
+        EndpointStreamOptions{
+            .stream = {.request_id = context.request.id,
+                       .address = record->address,
+                       .request = std::move(encoded),
+                       .may_send = MaySendTo(context, record->id),
+                       .on_sent = OnSentFor(context),
+                       .deadline = context.deadline,
+                       .connect_timeout = relay::kConnectTimeout,
+                       .streams = context.route->streams,
+                       .position = std::move(position)},
+            .run = RunOf(*record),
+            .silence = std::max(context.route->target_latency,
+                                relay::kMaxForwardSilence),
+            .max_silence = relay::kMaxSoundSilence,
+            .traits = context.traits});
+  }
+
+  /// Whether this daemon has no chain or endpoint that it can connect to.
   [[nodiscard]] bool LacksChains(const RequestContext& context) const {
     return context.connect_failures >= relay::kMaxConnectFailures ||
            !state_.HasEndpointsFor(*context.service, clock_.Now());
--- a/include/sycamoreford/adapters/chain_forwarder.h
+++ b/include/sycamoreford/adapters/chain_forwarder.h
@@ -18,7 +18,7 @@
 namespace sycamoreford {
 
 /// Forwards requests to model services, whose engines run on chains of
-/// endpoints.
+/// endpoints, and streams of plain services.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
--- a/include/sycamoreford/adapters/endpoint_forwarder.h
+++ b/include/sycamoreford/adapters/endpoint_forwarder.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,23 +15,26 @@
 #include "sycamoreford/adapters/background_task.h"
 #include "sycamoreford/adapters/crash_watch.h"
 #include "sycamoreford/adapters/endpoint_attempt.h"
+#include "sycamoreford/adapters/endpoint_selection.h"
 #include "sycamoreford/adapters/peer_forwarding.h"
 #include "sycamoreford/adapters/pending_attempts.h"
 
 namespace sycamoreford {
 
 /// Forwards requests to endpoints of plain services, which have no engine.
+/// Their streams are forwarded by `ChainForwarder`.
 ///
 /// Thread safety: none; runs on the thread of the `RelayState`.
 template <RelayCodec Codec, Clock TheClock>
-class EndpointForwarder : private PeerForwarding<Codec, TheClock> {
+class EndpointForwarder : private EndpointSelection<Codec, TheClock> {
+  using Selection = EndpointSelection<Codec, TheClock>;
   using Processor = PeerForwarding<Codec, TheClock>;
   using typename Processor::RequestContext;
 
  public:
   /// Precondition: `state` and `clock` outlive this object.
   EndpointForwarder(RelayState& state, const TheClock& clock)
-      : Processor(state, clock) {}
+      : Selection(state, clock) {}
 
   /// A request that may run again is sent to a further endpoint when the first
   /// one does not respond in time, but that one may still respond first.
@@ -77,20 +79,18 @@
   using Processor::LogResponseLost;
   using Processor::MarkLeaving;
   using Processor::MayBeSent;
-  using Processor::MayConnect;
   using Processor::MayForward;
   using Processor::MaySendTo;
-  using Processor::OnClosed;
   using Processor::OnRefusedByPeer;
   using Processor::OnSentFor;
-  using Processor::PickUnlikeOthers;
   using Processor::RecordFailure;
   using Processor::RecordOutcome;
   using Processor::Refuse;
   using Processor::Respond;
   using Processor::state_;
   using Processor::ThrowIfCancelled;
-  using Processor::TryAcquireSend;
+  using Selection::AcquireEndpoint;
+  using Selection::EncodeForEndpoint;
 
   /// Whether the request may be sent to a further endpoint while others run it.
   [[nodiscard]] static bool MayTryFurtherEndpoint(
@@ -207,42 +207,17 @@
   std::optional<EndpointAttemptOptions> ChooseEndpoint(
       const HttpRequest& request,
       RequestContext& context) {
-    const TimePoint now = clock_.Now();
-    const auto pick = [&](const std::set<std::string>& excluded) {
-      return state_.service_selector().Pick(state_.directory(),
-                                            context.service->name, now,
-                                            excluded, !context.MayRunAgain());
-    };
-    auto excluded = state_.gate().Closed(now);
-    const std::set<std::string>& tried = context.tried_endpoints.all();
-    excluded.insert(tried.begin(), tried.end());
-    const KnownEndpoint* endpoint =
-        MayConnect(context)
-            ? PickUnlikeOthers(
-                  context, std::move(excluded), pick,
-                  [](const KnownEndpoint& it) { return it.record.id; })
-            : nullptr;
-    if (endpoint == nullptr) {
-      if (context.last_denial.empty() && pick(tried) != nullptr) {
-        OnClosed(context);
-      }
+    const auto record = AcquireEndpoint(context);
+    if (!record) {
       return std::nullopt;
     }
-    if (!TryAcquireSend(context)) {
-      return std::nullopt;
-    }
-    const EndpointRecord& record = endpoint->record;
-    state_.OnSent(record.id, now);
-    ForwardOptions forward;
-    forward.endpoint_id = record.id;
-    forward.time_left = context.TimeLeft(now);
-    forward.customer = context.customer;
-    return EndpointAttemptOptions{.endpoint = record.id,
-                                  .run = RunOf(record),
-                                  .address = record.address,
-                                  .request = Codec::Encode(request, forward),
-                                  .may_send = MaySendTo(context, record.id),
-                                  .on_sent = OnSentFor(context)};
+    return EndpointAttemptOptions{
+        .endpoint = record->id,
+        .run = RunOf(*record),
+        .address = record->address,
+        .request = EncodeForEndpoint(request, context, record->id),
+        .may_send = MaySendTo(context, record->id),
+        .on_sent = OnSentFor(context)};
   }
 
   /// Chooses another daemon and counts the send.
--- a/include/sycamoreford/adapters/relay_handler.h
+++ b/include/sycamoreford/adapters/relay_handler.h
@@ -120,7 +120,7 @@
     state_.metrics().OnRead(context.service->name, context.unread_time);
     bool is_ended = false;
     try {
-      if (context.service->engine) {
+      if (context.service->engine || context.route->streams) {
         co_await chains_.Serve(exchange, context);
       } else {
         co_await endpoints_.Serve(exchange, context);
--- a/tests/support/relay_fixture.h
+++ b/tests/support/relay_fixture.h
@@ -144,7 +144,7 @@
       route.host = "a.example";
       route.path_prefix = "/" + path + "/";
       route.retry_policy = retry_policy;
-      route.streams = service == "model";
+      route.streams = path.find("stream") != std::string::npos;
       route.max_attempts = 2;
       route.services = {{service, 1}};
       return route;
@@ -152,7 +152,9 @@
     return {make("safe", RetryPolicy::kIdempotent, "plain"),
             make("once", RetryPolicy::kAtMostOnce, "plain"),
             make("stream", RetryPolicy::kResumable, "model"),
-            make("stream-once", RetryPolicy::kAtMostOnce, "model")};
+            make("stream-once", RetryPolicy::kAtMostOnce, "model"),
+            make("plain-stream", RetryPolicy::kResumable, "plain"),
+            make("plain-stream-once", RetryPolicy::kAtMostOnce, "plain")};
   }
 
   void AddPlain(const std::string& id,
--- a/tests/support/sample_configuration.h
+++ b/tests/support/sample_configuration.h
@@ -9,8 +9,8 @@
 
 /// A configuration of revision 1 with the routes `/stream/` to the model
 /// service `model`, whose accelerators of kind `whole` hold all layers, and
-/// `/safe/` and
-/// `/once/` to the service `plain`, for the host `a.example`.
+/// `/safe/`, `/once/` and `/plain-stream/` to the service `plain`, for the host
+/// `a.example`.
 inline Manifest::Builder SampleConfiguration(bool allows_anonymous = false) {
   RelayService model;
   model.name = "model";
@@ -26,7 +26,7 @@
     route.host = "a.example";
     route.path_prefix = "/" + path + "/";
     route.retry_policy = retry_policy;
-    route.streams = service == "model";
+    route.streams = path.find("stream") != std::string::npos;
     route.max_attempts = 2;
     route.allows_anonymous = allows_anonymous;
     route.services = {{service, 1}};
@@ -35,6 +35,7 @@
   add("stream", RetryPolicy::kResumable, "model");
   add("safe", RetryPolicy::kIdempotent, "plain");
   add("once", RetryPolicy::kAtMostOnce, "plain");
+  add("plain-stream", RetryPolicy::kResumable, "plain");
   return builder.AddService(model).AddService(plain);
 }
 
