Pass on the event after which a caller resumes to plain services

Cause: the codec drops the caller's Last-Event-Id, as the router may replace it, and only requests to chains set ForwardOptions::last_event_id.

Why it works: all requests to plain services are encoded by EncodeForEndpoint, which names the last event that was passed on, or else the caller's. Routes without streams lost the header as well.

--- a/include/sycamoreford/adapters/endpoint_selection.h
+++ b/include/sycamoreford/adapters/endpoint_selection.h
@@ -60,7 +60,8 @@
 
   /// Encodes a request for an endpoint.
   ///
-  /// \param last_event_id event after which a stream goes on; empty for none.
+  /// \param last_event_id event after which a stream goes on; empty for the one
+  ///     that the caller named, if any.
   [[nodiscard]] HttpRequest EncodeForEndpoint(
       const HttpRequest& request,
       const RequestContext& context,
@@ -70,7 +71,8 @@
     forward.endpoint_id = endpoint;
     forward.time_left = context.TimeLeft(clock_.Now());
     forward.customer = context.customer;
-    forward.last_event_id = last_event_id;
+    forward.last_event_id =
+        last_event_id.empty() ? context.request.last_event_id : last_event_id;
     return Codec::Encode(request, forward);
   }
 };
--- a/tests/plain_stream_test.cc
+++ b/tests/plain_stream_test.cc
@@ -216,5 +216,41 @@
   CHECK(sends == 2);
 }
 
+// Guards against a resumed stream whose events come again.
+TEST_CASE("the id after which a caller resumes reaches the endpoint") {
+  RelayFixture fixture;
+  const std::string headers = "Api-Key: key-1\r\nLast-Event-Id: 1\r\n";
+
+  SECTION("at once") {
+    SetFirstResponse(fixture, {Reset()});
+    fixture.Start();
+    const auto response =
+        ParseResponse(fixture.Fetch("POST", "/plain-stream/1", headers));
+    CHECK(response.body == Event(2));
+    CHECK(response.is_complete);
+    for (const HttpRequest& request : RequestsOf(fixture)) {
+      CHECK(request.fields.Get("Last-Event-Id") == "1");
+    }
+  }
+  SECTION("and the next id, once an event has come") {
+    SetFirstResponse(fixture, {Send(StreamHead() + Part(Event(2))),
+                               Wait(milliseconds(50)), Reset()});
+    fixture.Start();
+    const auto response =
+        ParseResponse(fixture.Fetch("POST", "/plain-stream/1", headers));
+    CHECK(response.body == Event(2));
+    CHECK(response.is_complete);
+  }
+  SECTION("also on a route without streams") {
+    SetFirstResponse(fixture, {Reset()});
+    fixture.Start();
+    (void)fixture.Fetch("POST", "/safe/1", headers);
+    CHECK_FALSE(RequestsOf(fixture).empty());
+    for (const HttpRequest& request : RequestsOf(fixture)) {
+      CHECK(request.fields.Get("Last-Event-Id") == "1");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sycamoreford
