Tell a run that leaves by its identity, and by clocks only with a margin

Cause: a daemon took all runs of an endpoint as leaving that had started when it sent the request, by comparing its own time of day with the endpoint's (`born`). A run that starts within the difference of the clocks counted as leaving until it ended, and the other daemons were told.

An endpoint with a report is asked which run it is.

--- a/include/sycamoreford/adapters/leaving_recorder.h
+++ b/include/sycamoreford/adapters/leaving_recorder.h
@@ -28,6 +28,12 @@
     notify_ = std::move(notify);
   }
 
+  /// Sets the function that asks an endpoint which run it is; it is called with
+  /// the id. A response does not state its run.
+  void SetIdentifier(std::function<void(const std::string&)> identify) {
+    identify_ = std::move(identify);
+  }
+
   /// Called with the head of each response to a request.
   ///
   /// \param sender id of the endpoint, or address of the daemon, that sent it.
@@ -44,13 +50,14 @@
 
  private:
   /// \returns whether it was not known.
-  bool Record(const LeavingRun& leaving, LeavingSource source);
+  bool Record(LeavingRun leaving, LeavingSource source);
   /// Has the other daemons told if this one did not know.
   void RecordAndTell(const LeavingRun& leaving, LeavingSource source);
 
   EndpointDirectory& directory_;
   RelayMetrics& metrics_;
   std::function<void(const LeavingRun&)> notify_;
+  std::function<void(const std::string&)> identify_;
 };
 
 }  // namespace sycamoreford
--- a/include/sycamoreford/fleet/inspection_cause.h
+++ b/include/sycamoreford/fleet/inspection_cause.h
@@ -20,6 +20,8 @@
   kAwaited,
   /// The list of endpoints cannot be read.
   kListLost,
+  /// It has said that it leaves, and the list may show an earlier run of it.
+  kLeaving,
   /// The daemons that were asked about it have not replied.
   kNoReply,
 };
@@ -41,6 +43,8 @@
       return "awaited";
     case InspectionCause::kListLost:
       return "list_lost";
+    case InspectionCause::kLeaving:
+      return "leaving";
     case InspectionCause::kNoReply:
       return "no_reply";
   }
--- a/include/sycamoreford/relay/relay_request.h
+++ b/include/sycamoreford/relay/relay_request.h
@@ -11,6 +11,7 @@
 #include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/strong_id.h"
 #include "sycamoreford/fleet/endpoint_run_id.h"
+#include "sycamoreford/fleet/leaving_run.h"
 #include "sycamoreford/relay/reported_load.h"
 #include "sycamoreford/route/chain.h"
 
@@ -94,8 +95,7 @@
   /// The run of an endpoint that is leaving. As decoded, it is what another
   /// daemon states of the endpoint whose response it forwards.
   std::optional<EndpointRunId> leaving_run;
-  /// Wall-clock time in ms at which the request was sent to that endpoint; 0 if
-  /// another daemon does not state it. Runs that started later did not respond.
+  /// As `LeavingRun::until_ms`; 0 if another daemon does not state it.
   std::uint64_t leaving_until_ms = 0;
   /// The endpoints that another daemon has sent the request to; nothing if it
   /// does not state them.
@@ -108,7 +108,7 @@
   void SetSender(const std::optional<EndpointRunId>& run,
                  std::chrono::system_clock::time_point sent_at) {
     leaving_run = is_leaving && IsTrusted() ? run : std::nullopt;
-    leaving_until_ms = ToWallClockMs(sent_at);
+    leaving_until_ms = ToWallClockMs(sent_at - kMaxClockDifference);
   }
 
   /// Completes `leaving_until_ms` for a response that came through another
@@ -117,7 +117,7 @@
   /// \param sent_at when this daemon sent the request to the other one.
   void SetForwarded(std::chrono::system_clock::time_point sent_at) {
     if (leaving_until_ms == 0) {
-      leaving_until_ms = ToWallClockMs(sent_at);
+      leaving_until_ms = ToWallClockMs(sent_at - kMaxClockDifference);
     }
   }
 
--- a/src/adapters/leaving_recorder.cc
+++ b/src/adapters/leaving_recorder.cc
@@ -1,5 +1,9 @@
 #include "sycamoreford/adapters/leaving_recorder.h"
 
+#include <algorithm>
+#include <chrono>
+
+#include "sycamoreford/core/clock.h"
 #include "sycamoreford/core/log.h"
 
 namespace sycamoreford {
@@ -32,7 +36,11 @@
   Record(leaving, LeavingSource::kPeer);
 }
 
-bool LeavingRecorder::Record(const LeavingRun& leaving, LeavingSource source) {
+bool LeavingRecorder::Record(LeavingRun leaving, LeavingSource source) {
+  // The clock of a daemon that tells may be ahead.
+  leaving.until_ms = std::min(
+      leaving.until_ms,
+      ToWallClockMs(std::chrono::system_clock::now() - kMaxClockDifference));
   if (!directory_.OnLeaving(leaving)) {
     return false;
   }
@@ -47,9 +55,15 @@
 
 void LeavingRecorder::RecordAndTell(const LeavingRun& leaving,
                                     LeavingSource source) {
-  if (Record(leaving, source) && notify_) {
+  if (!Record(leaving, source)) {
+    return;
+  }
+  if (notify_) {
     notify_(leaving);
   }
+  if (identify_ && source == LeavingSource::kResponse) {
+    identify_(leaving.run.id);
+  }
 }
 
 }  // namespace sycamoreford
--- a/src/adapters/relay_state.cc
+++ b/src/adapters/relay_state.cc
@@ -46,6 +46,9 @@
       peers_(data_centre_),
       daemon_count_(kAssumedDaemonCount) {
   limits().SetDaemons(daemon_count_, interval_factor());
+  leaving_.SetIdentifier([this](const std::string& id) {
+    Inspect(id, InspectionCause::kLeaving);
+  });
 }
 
 bool RelayState::Accept(std::shared_ptr<const Manifest> manifest) {
--- a/src/fleet/endpoint_directory.cc
+++ b/src/fleet/endpoint_directory.cc
@@ -92,10 +92,18 @@
     return entry.second.drop_at && now >= *entry.second.drop_at;
   });
   version_ += dropped > 0 ? 1 : 0;
-  leaving_.Expire(now, [&](const std::string& id) {
+  const auto is_listed = [&](const std::string& id) {
     const KnownEndpoint* known = Find(id);
     return known != nullptr && leaving_.Contains(RunOf(known->record));
-  });
+  };
+  if (leaving_.Expire(now, is_listed)) {
+    for (auto& [id, known] : endpoints_) {
+      if (known.record.is_leaving && !is_listed(id)) {
+        known.record.is_leaving = false;
+        ++version_;
+      }
+    }
+  }
   return dropped > 0;
 }
 
--- a/src/fleet/leaving_endpoints.cc
+++ b/src/fleet/leaving_endpoints.cc
@@ -7,14 +7,16 @@
 bool LeavingEndpoints::Add(const LeavingRun& leaving) {
   const auto& [run, said_until_ms] = leaving;
   const std::uint64_t until_ms = std::max(run.started_at_ms, said_until_ms);
-  if (Contains({run.id, until_ms})) {
-    return false;
-  }
+  const bool is_known = Contains({run.id, until_ms});
   const auto [found, is_new] =
       entries_.try_emplace(run.id, Entry{.number = last_number_ + 1});
   Entry& entry = found->second;
   entry.started_at_ms = std::max(entry.started_at_ms, run.started_at_ms);
+  if (is_known) {
+    return false;
+  }
   entry.until_ms = until_ms;
+  entry.concluded_at.reset();
   if (!is_new) {
     return true;
   }
@@ -33,14 +35,23 @@
   return found != entries_.end() && run.started_at_ms <= found->second.until_ms;
 }
 
-void LeavingEndpoints::Expire(
+bool LeavingEndpoints::Expire(
     TimePoint now,
     const std::function<bool(const std::string&)>& is_listed) {
   if (now < next_sweep_) {
-    return;
+    return false;
   }
   next_sweep_ = now + kSweepInterval;
+  bool has_ended = false;
   for (auto& [id, entry] : entries_) {
+    if (entry.until_ms > entry.started_at_ms) {
+      entry.concluded_at = entry.concluded_at.value_or(now);
+      if (now - *entry.concluded_at >= kMaxStop) {
+        entry.until_ms = entry.started_at_ms;
+        entry.concluded_at.reset();
+        has_ended = true;
+      }
+    }
     if (is_listed(id)) {
       entry.unlisted_since.reset();
     } else {
@@ -51,6 +62,7 @@
     return it.second.unlisted_since &&
            now - *it.second.unlisted_since >= kMemory;
   });
+  return has_ended;
 }
 
 std::vector<LeavingRun> LeavingEndpoints::Latest(std::size_t max_count) const {
--- a/tests/leaving_endpoints_test.cc
+++ b/tests/leaving_endpoints_test.cc
@@ -106,6 +106,43 @@
   }
 }
 
+// Guards against a run that is refused for good on the word of a clock.
+TEST_CASE("what is concluded from clocks does not hold for long") {
+  EndpointDirectory directory;
+  directory.Upsert(Record("a", 1));
+  directory.Expire(kStart);
+  REQUIRE(directory.OnLeaving({.run = {"a", 1}, .until_ms = 50}));
+  directory.Upsert(Record("a", 40));
+  const auto is_usable = [&](TimePoint now) {
+    return directory.Find("a")->IsUsable(now);
+  };
+  directory.Expire(kStart + seconds(1));
+  REQUIRE_FALSE(is_usable(kStart + seconds(1)));
+  const TimePoint end = kStart + seconds(1) + LeavingEndpoints::kMaxStop;
+
+  SECTION("for longer than a run takes to stop") {
+    directory.Expire(end - seconds(1));
+    CHECK_FALSE(is_usable(end - seconds(1)));
+    const auto version = directory.version();
+    directory.Expire(end);
+    CHECK(is_usable(end));
+    CHECK(directory.version() != version);
+  }
+  SECTION("unless the run says so itself") {
+    REQUIRE(directory.OnLeaving({.run = {"a", 40}}) == false);
+    EndpointRecord listed = Record("a", 40);
+    listed.is_leaving = true;
+    directory.Upsert(listed);
+    directory.Expire(end);
+    CHECK_FALSE(is_usable(end));
+  }
+  SECTION("and never ends that of the run that was asked") {
+    directory.Expire(end);
+    directory.Upsert(Record("a", 1));
+    CHECK_FALSE(is_usable(end));
+  }
+}
+
 TEST_CASE("what is remembered of leaving endpoints is bounded") {
   LeavingEndpoints leaving;
   SECTION("in number") {
--- a/tests/leaving_over_hops_test.cc
+++ b/tests/leaving_over_hops_test.cc
@@ -209,5 +209,74 @@
   }
 }
 
+// Guards against a run that is refused for good as the clock by which it states
+// its start is behind that of a relay.
+TEST_CASE("an endpoint that starts again is used although clocks differ") {
+  const std::string path = GENERATE("/safe/", "/stream/");
+  const auto behind = GENERATE(milliseconds(0), milliseconds(2'400));
+  const bool is_forwarded = GENERATE(false, true);
+  CAPTURE(path, behind.count(), is_forwarded);
+  bool is_leaving = false;
+  RelayNetwork network(2, 1, [&](std::size_t, const HttpRequest& request) {
+    return Respond(request, is_leaving);
+  });
+  const auto announce = [&] {
+    const std::uint64_t started_at_ms =
+        WallClock(seconds(0)) - static_cast<std::uint64_t>(behind.count());
+    network.SetReportedStart(0, started_at_ms);
+    network.Announce(0, 0, started_at_ms);
+    network.Announce(1, 0, started_at_ms);
+  };
+  announce();
+  if (is_forwarded) {
+    network.Send(1, path + "1");
+    network.SetLinks(0, LinkState::kRefusing);
+    network.RunFor(seconds(3));
+  }
+
+  is_leaving = true;
+  const std::string last = network.Send(0, path + "last");
+  network.RunFor(milliseconds(500));
+  REQUIRE(network.ResponseOf(last).status == 200);
+  is_leaving = false;
+  announce();
+  network.SetLinks(0, LinkState::kUp);
+  // Longer than a suspicion.
+  network.RunFor(seconds(5));
+  for (const std::size_t relay : {0U, 1U}) {
+    CAPTURE(relay);
+    const std::string id = network.Send(relay, path + "after");
+    network.RunFor(seconds(1));
+    CHECK(network.ResponseOf(id).status == 200);
+  }
+}
+
+// Guards against a run that is too young for the list and for clocks that may
+// differ, but says itself which one it is.
+TEST_CASE(
+    "an endpoint that leaves right after its start is told by its report") {
+  RelayNetwork network(2, 1, [](std::size_t, const HttpRequest& request) {
+    return Respond(request, true);
+  });
+  const auto announce = [&](std::uint64_t started_at_ms) {
+    network.Announce(0, 0, started_at_ms);
+    network.Announce(1, 0, started_at_ms);
+  };
+  const std::uint64_t newer = WallClock(seconds(1));
+  announce(WallClock(seconds(60)));
+  network.SetReportedLeaving(0, newer);
+  network.Send(0, "/stream/1");
+  network.RunFor(seconds(1));
+  REQUIRE(network.arrivals[0].size() == 1);
+  announce(newer);
+  // Longer than a suspicion.
+  network.RunFor(kDrainTime + seconds(3));
+  for (const std::size_t relay : {0U, 1U}) {
+    network.Send(relay, "/stream/late" + std::to_string(relay));
+    network.RunFor(milliseconds(300));
+  }
+  CHECK(network.arrivals[0].size() == 1);
+}
+
 }  // namespace
 }  // namespace sycamoreford
--- a/tests/support/relay_network.h
+++ b/tests/support/relay_network.h
@@ -124,6 +124,17 @@
     endpoints_[endpoint]->report = R"({"born":)" +
                                    std::to_string(started_at_ms) +
                                    R"(,"Layers":{"From":0,"To":80}})";
+    endpoints_[endpoint]->report_script.clear();
+  }
+  /// The same of a run that is leaving, and says so in its report.
+  void SetReportedLeaving(std::size_t endpoint, std::uint64_t started_at_ms) {
+    SetReportedStart(endpoint, started_at_ms);
+    const std::string& report = endpoints_[endpoint]->report;
+    endpoints_[endpoint]->report_script = {
+        fakes::Send("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n"
+                    "Content-Length: " +
+                    std::to_string(report.size()) + "\r\n\r\n" + report),
+        fakes::Close()};
   }
 
   /// Cuts a relay off from all endpoints, or connects it again.
