Have two daemons notice soon that polls of the configuration were lost

Cause: a poll of the configuration waits for 10.9 s, and with fewer than 20 daemons nothing shows earlier that its response was lost, if the poll of the list goes on. A change answers all polls at the same moment, so all may be lost together, and nobody has anything to tell.

Why it works: the polls of two daemons wait for 1.2 s at most, so that the loss shows after 2.1 s, and these tell all others at once. The others keep their long polls, as calls are paid for.

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -74,6 +76,12 @@
       Result<ManifestListing>& listing = *response;
       if (!listing) {
         state_.configuration_wait().OnFailed();
+        if (!connection.is_lost()) {
+          LogEvent(Severity::kInfo, "configuration_poll_failed")
+              .With("reason", listing.error().where)
+              .With("after_version", position.value_or(StorePosition{}).version)
+              .With("after_ms", clock_.Now() - asked_at);
+        }
         co_await connection.OnFailed(listing.error(), clock_.Now());
         const TimePoint deadline = clock_.Now() + kMaxWaitForEndpointPoll;
         while (endpoints_.is_unreachable() && clock_.Now() < deadline) {
@@ -85,7 +93,7 @@
       state_.configuration_wait().OnAnswered();
       has_read_store_ = true;
       if (listing->manifest) {
-        Accept(*listing);
+        Accept(*listing, position ? "feed" : "read", asked_at);
       }
       if (listing->has_gap) {
         LogEvent(Severity::kInfo, "history_gone").With("of", "configuration");
@@ -125,6 +133,13 @@
   /// As `EndpointFollower::IsReader`.
   [[nodiscard]] bool IsReader() const { return endpoints_.IsReader(); }
 
+  /// Whether this daemon is one of few whose polls of the configuration notice
+  /// soon that a response was lost. The polls of all daemons may be lost at the
+  /// same moment, and each call is paid for.
+  [[nodiscard]] bool IsWatcher() const {
+    return !state_.duty().IsShared() && state_.duty().RankOf(kTask) < kWatchers;
+  }
+
   /// As `EndpointFollower::TakeNews`.
   [[nodiscard]] std::vector<StoreNews> TakeNews() {
     return endpoints_.TakeNews(revision_in_force());
@@ -237,6 +252,12 @@
   /// The same where others rely on this daemon: a response that is lost must be
   /// noticed before a change has to be in force.
   static constexpr std::chrono::milliseconds kMaxReaderWait{1'500};
+  /// The same of watchers. Together with `StoreClient`'s margin and the time to
+  /// tell the others, less than the time after which bounds hold again.
+  static constexpr std::chrono::milliseconds kMaxWatcherWait{1'200};
+  /// With few daemons, those that notice a lost response for the others. More
+  /// than one, so that the loss of a daemon delays nothing.
+  static constexpr std::size_t kWatchers = 2;
   /// Interval at which is checked whether other daemons still tell.
   static constexpr std::chrono::milliseconds kFedCheckInterval{100};
   /// Delay before a full read in a new era, so that reads of a store that still
@@ -286,15 +307,27 @@
       co_return std::string();
     }
     if (listing->manifest) {
-      Accept(*listing);
+      Accept(*listing, "catch_up", now);
     }
     co_return "store";
   }
 
   /// Puts a configuration from the store in force, unless it is older.
-  void Accept(const ManifestListing& listing) {
+  ///
+  /// \param source which call has returned it, and `asked_at` when it was sent;
+  ///     for the log.
+  void Accept(const ManifestListing& listing,
+              std::string_view source,
+              TimePoint asked_at) {
     state_.metrics().OnConfigurationDecoded(listing.decode_time);
-    state_.Accept(listing.manifest);
+    if (state_.Accept(listing.manifest)) {
+      LogEvent(Severity::kInfo, "configuration_read")
+          .With("revision", listing.manifest->revision())
+          .With("source", source)
+          .With("era", listing.position.era)
+          .With("version", listing.position.version)
+          .With("after_ms", clock_.Now() - asked_at);
+    }
   }
 
   /// \returns nothing if the poll was ended because it may have been sent while
@@ -316,8 +349,10 @@
     if (connection.is_lost()) {
       return StoreConnection::kProbeWait;
     }
-    const bool reads_for_all = state_.duty().IsShared() && IsReader();
-    return reads_for_all ? kMaxReaderWait : kMaxManifestWait;
+    if (state_.duty().IsShared()) {
+      return IsReader() ? kMaxReaderWait : kMaxManifestWait;
+    }
+    return IsWatcher() ? kMaxWatcherWait : kMaxManifestWait;
   }
 
   RelayState& state_;
--- a/include/sycamoreford/adapters/peer_service.h
+++ b/include/sycamoreford/adapters/peer_service.h
@@ -210,12 +210,18 @@
     return message;
   }
 
-  /// Tells the daemons to which this one passes configurations on that it has a
-  /// newer one.
+  /// Tells the daemons to which this one passes configurations on, or all if it
+  /// watches for them, that it has a newer one.
   void PassOnRevision() {
     const auto services = Services();
-    if (!services.empty()) {
-      news_.PassOn(StatusOf(services.front(), clock_.Now()));
+    if (services.empty()) {
+      return;
+    }
+    const PeerMessage status = StatusOf(services.front(), clock_.Now());
+    if (follower_.IsWatcher()) {
+      datagrams_.Send(roster_.roster().Addresses(), status);
+    } else {
+      news_.PassOn(status);
     }
   }
 
--- a/include/sycamoreford/fleet/daemon_duty.h
+++ b/include/sycamoreford/fleet/daemon_duty.h
@@ -41,8 +41,8 @@
   /// Whether this daemon does the task: always unless tasks are shared.
   [[nodiscard]] bool IsOwn(std::string_view task) const;
 
-  /// Place of this daemon among those that do a shared task, from 0;
-  /// `kDaemonsPerTask` if it is none of them.
+  /// Place of this daemon among those that would do the task if it were shared,
+  /// from 0; `kDaemonsPerTask` if it is none of them.
   [[nodiscard]] std::size_t RankOf(std::string_view task) const;
 
   /// The daemons to which this one passes on what the daemons that do a task
--- a/tests/configuration_behind_test.cc
+++ b/tests/configuration_behind_test.cc
@@ -20,6 +20,8 @@
 
 /// Maximum time after its confirmation at which a change is in force.
 constexpr milliseconds kApplyTime{2'000};
+/// Time after a disturbance from which on bounds hold.
+constexpr milliseconds kContactTime{3'000};
 /// A little longer than the time between two messages of a daemon.
 constexpr milliseconds kMessageTime{600};
 
@@ -114,6 +116,34 @@
   }
 }
 
+// Guards against a change that all daemons miss at the same time, as the
+// responses to the polls that they have open are lost and nothing else fails.
+TEST_CASE("a change is in force in time when all polls for it were lost") {
+  RelayFleet fleet(4);
+  StartAll(fleet);
+  const auto set_access = [&](RelayFleet::Access access) {
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      fleet.SetAccess(i, access);
+    }
+  };
+  // All daemons have told each other that they are there.
+  std::this_thread::sleep_for(milliseconds(1'500));
+  set_access(RelayFleet::Access::kWithoutConfiguration);
+  const auto lost_at = steady_clock::now();
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.Write(Configuration(2));
+  set_access(RelayFleet::Access::kServed);
+  const auto contact_at = lost_at + kContactTime;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    CAPTURE(i);
+    const bool is_in_force = BecomesTrue(
+        [&] { return fleet.RevisionOf(i) == 2; },
+        std::chrono::ceil<milliseconds>(contact_at - steady_clock::now()));
+    CAPTURE(fleet.daemon(i).process->Output());
+    CHECK(is_in_force);
+  }
+}
+
 /// Another daemon that has stopped at an old configuration and serves it to
 /// those that start.
 class SeedBehind {
--- a/tests/support/relay_fleet.h
+++ b/tests/support/relay_fleet.h
@@ -44,6 +44,8 @@
     kSilent,
     /// Status 503 for the rows of the daemons.
     kWithoutDaemons,
+    /// No response about the configuration.
+    kWithoutConfiguration,
   };
 
   struct Daemon {
@@ -287,6 +289,11 @@
           return Answer(503, "{}", std::chrono::milliseconds(0));
         }
         break;
+      case Access::kWithoutConfiguration:
+        if (request.target.find("Table=op") != std::string::npos) {
+          return {fakes::WaitForClose()};
+        }
+        break;
     }
     const std::string& target = request.target;
     const auto has = [&](const std::string& part) {
