Take a response with an invalid status for lost

What callers saw: a status 600 or 999 of an endpoint as an answer; 101 that nobody had asked for, as an answer with an empty body; and after 000 with an empty body, whatever response followed it on the same connection.

Cause: the parser takes any three digits, HasInterimHead took all below 200, except 101, for interim responses, and nothing looked for an upper end.

Why it works: a status outside of 100 to 599 is none in HTTP (RFC 9110, 15); the connection is closed, and the response counts as lost, as one that breaks off.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -198,6 +198,13 @@
     if (error) {
       co_return ExchangeFailure(error, state_->address);
     }
+    if (!state_->HasValidStatus()) {
+      LogEvent(Severity::kInfo, "invalid_status")
+          .With("from", state_->address)
+          .With("status", state_->parser->get().result_int());
+      state_->stream.close();
+      co_return ExchangeFailure(http::error::bad_status, state_->address);
+    }
     state_->LogInterimHead();
   } while (state_->HasInterimHead() &&
            ++state_->interim_heads <= kMaxInterimHeads);
--- a/src/impl/http_call_state.h
+++ b/src/impl/http_call_state.h
@@ -65,13 +65,24 @@
     parser->skip(is_head_request);
   }
 
+  /// Whether the head that was read has a status of HTTP (RFC 9110, 15). 101
+  /// is none, as no request asks for another protocol.
+  [[nodiscard]] bool HasValidStatus() const {
+    constexpr unsigned kFirst = 100;
+    constexpr unsigned kLast = 599;
+    const unsigned status = parser->get().result_int();
+    return status >= kFirst && status <= kLast &&
+           parser->get().result() !=
+               boost::beast::http::status::switching_protocols;
+  }
+
   /// Whether the head that was read is followed by that of the final response
   /// (RFC 9110, 15.2).
+  ///
+  /// Precondition: `HasValidStatus`.
   [[nodiscard]] bool HasInterimHead() const {
     constexpr unsigned kFirstFinal = 200;
-    return parser->get().result_int() < kFirstFinal &&
-           parser->get().result() !=
-               boost::beast::http::status::switching_protocols;
+    return parser->get().result_int() < kFirstFinal;
   }
 
   /// What an endpoint states in an interim response is not used.
