Let one daemon watch for lost polls, and the next one take its place

Two guarded against the loss of one at the same moment. Now a daemon that becomes the watcher, since the one before is not heard, sends its own poll again at once. configuration_behind_test: the watcher is killed while the polls of all are lost; the change is in force at the others within ContactMs.

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -40,7 +39,7 @@
   /// Precondition: all arguments outlive this object.
   FleetFollower(RelayState& state, Store& store, const TheClock& clock)
       : state_(state), store_(store), clock_(clock) {
-    endpoints_.SetRegainedNotifier([this] { manifest_poll_.End(); });
+    endpoints_.SetRegainedNotifier([this] { EndPoll("store_regained"); });
   }
 
   /// Follows the configuration; does not return.
@@ -69,7 +68,7 @@
         LogEvent(Severity::kInfo, "configuration_poll_ended")
             .With("reason", position && position->era < endpoints_.era()
                                 ? "store_era"
-                                : "store_regained")
+                                : poll_end_reason_)
             .With("after_ms", clock_.Now() - asked_at);
         continue;
       }
@@ -133,11 +132,11 @@
   /// As `EndpointFollower::IsReader`.
   [[nodiscard]] bool IsReader() const { return endpoints_.IsReader(); }
 
-  /// Whether this daemon is one of few whose polls of the configuration notice
-  /// soon that a response was lost. The polls of all daemons may be lost at the
-  /// same moment, and each call is paid for.
+  /// Whether this daemon is the one, with few others, whose polls of the
+  /// configuration notice soon that a response was lost. The polls of all
+  /// daemons may be lost at the same moment, and each call is paid for.
   [[nodiscard]] bool IsWatcher() const {
-    return !state_.duty().IsShared() && state_.duty().RankOf(kTask) < kWatchers;
+    return !state_.duty().IsShared() && state_.duty().RankOf(kTask) == 0;
   }
 
   /// As `EndpointFollower::TakeNews`.
@@ -243,7 +242,15 @@
   }
 
   /// As `EndpointFollower::Tick`.
-  void Tick() { endpoints_.Tick(); }
+  void Tick() {
+    endpoints_.Tick();
+    const bool is_watcher = IsWatcher();
+    if (is_watcher && !was_watcher_) {
+      // The one before may have missed a change, as this one may.
+      EndPoll("watcher");
+    }
+    was_watcher_ = is_watcher;
+  }
 
  private:
   /// Maximum time that one poll waits for changes; each response is a paid
@@ -252,12 +259,11 @@
   /// The same where others rely on this daemon: a response that is lost must be
   /// noticed before a change has to be in force.
   static constexpr std::chrono::milliseconds kMaxReaderWait{1'500};
-  /// The same of watchers. Together with `StoreClient`'s margin and the time to
-  /// tell the others, less than the time after which bounds hold again.
+  /// The same of the watcher. Together with `StoreClient`'s margin and the time
+  /// to tell the others, less than the time after which bounds hold again.
   static constexpr std::chrono::milliseconds kMaxWatcherWait{1'200};
-  /// With few daemons, those that notice a lost response for the others. More
-  /// than one, so that the loss of a daemon delays nothing.
-  static constexpr std::size_t kWatchers = 2;
+  /// The same of those that a watcher tells of changes.
+  static constexpr std::chrono::milliseconds kMaxToldWait{25'000};
   /// Interval at which is checked whether other daemons still tell.
   static constexpr std::chrono::milliseconds kFedCheckInterval{100};
   /// Delay before a full read in a new era, so that reads of a store that still
@@ -280,6 +286,13 @@
   /// the poll of the endpoints to reach the store again, because each refused
   /// call is paid for.
   static constexpr std::chrono::milliseconds kMaxWaitForEndpointPoll{2'000};
+
+  /// Ends the pending poll of the configuration, which is then sent again.
+  void EndPoll(std::string_view reason) {
+    poll_end_reason_ = reason;
+    manifest_poll_.End();
+  }
+
   /// Asks another daemon that is ahead, or the store, each in turn.
   ///
   /// \returns who has answered; empty if nobody has.
@@ -352,7 +365,10 @@
     if (state_.duty().IsShared()) {
       return IsReader() ? kMaxReaderWait : kMaxManifestWait;
     }
-    return IsWatcher() ? kMaxWatcherWait : kMaxManifestWait;
+    if (IsWatcher()) {
+      return kMaxWatcherWait;
+    }
+    return IsTold() ? kMaxToldWait : kMaxManifestWait;
   }
 
   RelayState& state_;
@@ -370,6 +386,8 @@
   AheadDaemons ahead_;
   FetchFromPeer fetch_;
   EndableWait<Result<ManifestListing>> manifest_poll_;
+  std::string_view poll_end_reason_;
+  bool was_watcher_ = false;
 };
 
 }  // namespace sycamoreford
--- a/tests/configuration_behind_test.cc
+++ b/tests/configuration_behind_test.cc
@@ -126,15 +126,36 @@
       fleet.SetAccess(i, access);
     }
   };
+  const auto is_watcher = [&](std::size_t i) {
+    return fleet.Metric(i, "sycamoreford_relay_config_watcher") == 1;
+  };
   // All daemons have told each other that they are there.
-  std::this_thread::sleep_for(milliseconds(1'500));
+  std::size_t watcher = 0;
+  REQUIRE(BecomesTrue(
+      [&] {
+        std::size_t watchers = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+          watcher = is_watcher(i) ? i : watcher;
+          watchers += is_watcher(i) ? 1 : 0;
+        }
+        return watchers == 1;
+      },
+      milliseconds(5'000)));
+  const bool is_watcher_lost = GENERATE(false, true);
+  CAPTURE(is_watcher_lost);
   set_access(RelayFleet::Access::kWithoutConfiguration);
   const auto lost_at = steady_clock::now();
   std::this_thread::sleep_for(milliseconds(300));
+  if (is_watcher_lost) {
+    fleet.daemon(watcher).process.reset();
+  }
   fleet.Write(Configuration(2));
   set_access(RelayFleet::Access::kServed);
   const auto contact_at = lost_at + kContactTime;
   for (std::size_t i = 0; i < fleet.size(); ++i) {
+    if (!fleet.daemon(i).process) {
+      continue;
+    }
     CAPTURE(i);
     const bool is_in_force = BecomesTrue(
         [&] { return fleet.RevisionOf(i) == 2; },
