--- a/tests/odd_response_test.cc
+++ b/tests/odd_response_test.cc
@@ -104,12 +104,12 @@
   const std::string path = GENERATE("/once/1", "/safe/1", "/stream/1",
                                     "/stream-once/1", "/plain-stream/1");
   CAPTURE(status, framing, mark, next, path);
+  std::string response = "HTTP/1.1 " + status;
+  response += "\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n" + mark;
+  response += framing + next;
   for (auto* endpoint : {&fixture.plain_1, &fixture.plain_2, &fixture.model_1,
                          &fixture.model_2}) {
-    endpoint->AddScript({Send("HTTP/1.1 " + status +
-                              "\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n" +
-                              mark + framing + next),
-                         Close()});
+    endpoint->AddScript({Send(response), Close()});
   }
   fixture.Start();
   const std::string text = fixture.Fetch("POST", path);
