Send the poll of the configuration again when others come to rely on it

A daemon that comes to read the store for 20 or more kept the poll that it had sent before, of 10 s, or of 25 s since daemons that hear others wait longer. If its response was lost, as those of the readers before, all daemons had the change late. Now it is sent again, as that of a daemon that becomes the watcher.

--- a/include/sycamoreford/adapters/fleet_follower.h
+++ b/include/sycamoreford/adapters/fleet_follower.h
@@ -132,7 +132,7 @@
   /// As `EndpointFollower::IsReader`.
   [[nodiscard]] bool IsReader() const { return endpoints_.IsReader(); }
 
-  /// Whether this daemon is the one, with few others, whose polls of the
+  /// Whether this daemon is the one, where there are few, whose polls of the
   /// configuration notice soon that a response was lost. The polls of all
   /// daemons may be lost at the same moment, and each call is paid for.
   [[nodiscard]] bool IsWatcher() const {
@@ -244,12 +244,13 @@
   /// As `EndpointFollower::Tick`.
   void Tick() {
     endpoints_.Tick();
-    const bool is_watcher = IsWatcher();
-    if (is_watcher && !was_watcher_) {
+    const bool polls_for_all =
+        state_.duty().IsShared() ? IsReader() : IsWatcher();
+    if (polls_for_all && !polled_for_all_) {
       // The one before may have missed a change, as this one may.
-      EndPoll("watcher");
+      EndPoll("duty");
     }
-    was_watcher_ = is_watcher;
+    polled_for_all_ = polls_for_all;
   }
 
  private:
@@ -387,7 +388,8 @@
   FetchFromPeer fetch_;
   EndableWait<Result<ManifestListing>> manifest_poll_;
   std::string_view poll_end_reason_;
-  bool was_watcher_ = false;
+  /// Whether others relied on this daemon's polls at the last `Tick`.
+  bool polled_for_all_ = false;
 };
 
 }  // namespace sycamoreford
--- a/tests/store_outage_test.cc
+++ b/tests/store_outage_test.cc
@@ -1,7 +1,10 @@
 // Tests that changes of the configuration are in force in time once the store
 // is back from an outage in which responses were lost.
 #include <chrono>
+#include <cstddef>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -91,6 +94,40 @@
   }
 }
 
+// Guards against a poll that was lost before others came to rely on this
+// daemon.
+TEST_CASE("a daemon on whose polls others come to rely") {
+  using Follower = FleetFollower<OutageStore, SteadyClock>;
+  // Few have a watcher, many have readers.
+  const std::size_t count = GENERATE(5U, 30U);
+  CAPTURE(count);
+  std::vector<std::string> daemons;
+  for (std::size_t i = 0; i < count; ++i) {
+    daemons.push_back("10.0.0." + std::to_string(i) + ":7340");
+  }
+  Daemon daemon;
+  DaemonDuty& duty = daemon.state.duty();
+  const auto set_rank = [&](std::size_t rank) {
+    std::size_t own = 0;
+    do {
+      duty.SetDaemons(daemons, daemons[own++]);
+    } while (duty.RankOf(Follower::kTask) != rank);
+  };
+  set_rank(DaemonDuty::kDaemonsPerTask);
+  daemon.Write(1);
+  daemon.RunFor(milliseconds(300));
+  REQUIRE(daemon.follower.revision_in_force() == 1);
+  daemon.follower.Tick();
+  daemon.store.SetSilence(OutageStore::Silence::kConfiguration);
+  daemon.Write(2);
+  daemon.RunFor(milliseconds(100));
+  daemon.store.SetSilence(OutageStore::Silence::kNone);
+  set_rank(0);
+  daemon.follower.Tick();
+  daemon.RunFor(milliseconds(300));
+  CHECK(daemon.follower.revision_in_force() == 2);
+}
+
 TEST_CASE("an outage of the store costs few calls") {
   Daemon daemon;
   daemon.Write(1);
