--- /dev/null
+++ b/review/support-3/json.cc
@@ -0,0 +1,2 @@
+// The implementation of Boost.JSON, which is not linked as a library.
+#include <boost/json/src.hpp>
