--- a/review/support-3/plain_replica.h
+++ b/review/support-3/plain_replica.h
@@ -89,6 +89,12 @@
     });
   }
 
+  /// Removes the entry from the store and goes on serving.
+  void Withdraw() {
+    service_.record.Line("replica " + id_ + " withdraws its entry");
+    service_.store.Delete("servers", id_);
+  }
+
   /// Writes the entry in the store.
   void Announce(const std::string& state) {
     service_.store.Set(
--- a/review/support-3/store.h
+++ b/review/support-3/store.h
@@ -43,6 +43,12 @@
     changed_.notify_all();
   }
 
+  /// From now on nothing comes on the connections that are open; new ones work.
+  void SilenceOpenConnections() {
+    const std::lock_guard lock(mutex_);
+    ++epoch_;
+  }
+
   void Delete(const std::string& table, const std::string& key) {
     const std::lock_guard lock(mutex_);
     if (rows_.contains({table, "", key})) {
@@ -80,7 +86,13 @@
     log_.push_back({key, value, version_, is_deleted});
   }
 
+  [[nodiscard]] std::uint64_t epoch() {
+    const std::lock_guard lock(mutex_);
+    return epoch_;
+  }
+
   void Serve(Socket& socket) {
+    const std::uint64_t epoch_of_connection = epoch();
     while (server_.is_running()) {
       const auto request = ReadRequest(socket, Ms(30'000));
       if (!request) {
@@ -98,6 +110,12 @@
       } else {
         status = 404;
       }
+      if (epoch() != epoch_of_connection) {
+        while (server_.is_running() && !socket.HasEnded()) {
+          std::this_thread::sleep_for(Ms(20));
+        }
+        return;
+      }
       body["ServerTimeMs"] =
           std::chrono::duration_cast<Ms>(Now().time_since_epoch()).count();
       if (!socket.Write(FormatResponse(status,
@@ -215,6 +233,8 @@
   std::map<Key, Row> rows_;
   std::vector<LoggedChange> log_;
   std::uint64_t version_ = 1;
+  /// Increased when the open connections fall silent.
+  std::uint64_t epoch_ = 0;
   Server server_;
 };
 
