--- a/review/support-3/plain_replica.h
+++ b/review/support-3/plain_replica.h
@@ -89,8 +89,10 @@
     });
   }
 
-  /// Removes the entry from the store and goes on serving.
+  /// Leaves: removes the entry from the store and goes on serving. From now on
+  /// all answers say that it leaves.
   void Withdraw() {
+    is_leaving_ = true;
     service_.record.Line("replica " + id_ + " withdraws its entry");
     service_.store.Delete("servers", id_);
   }
@@ -146,10 +148,12 @@
     }
     std::this_thread::sleep_for(service_.work_time);
     if (is_up_) {
-      (void)socket.Write(FormatResponse(
-          200,
-          {{"X-Attempt-Id", attempt}, {"X-Response-Seal", id_ + "." + attempt}},
-          "ran " + attempt));
+      Fields fields = {{"X-Attempt-Id", attempt},
+                       {"X-Response-Seal", id_ + "." + attempt}};
+      if (is_leaving_) {
+        fields["Server-Leaving"] = "1";
+      }
+      (void)socket.Write(FormatResponse(200, fields, "ran " + attempt));
     }
   }
 
@@ -159,6 +163,7 @@
   Server server_;
   std::atomic<bool> is_up_{false};
   std::atomic<bool> is_ending_{false};
+  std::atomic<bool> is_leaving_{false};
   std::atomic<std::uint64_t> born_{0};
   std::atomic<int> beats_{0};
   std::thread lifecycle_;
