--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -126,12 +126,11 @@
 
   Response Send(const std::string& target, std::size_t daemon) {
     const std::string id = "a" + std::to_string(10'000 + ++sent_);
-    const Response response =
-        Fetch(deployment_.daemon(daemon).front(), "GET", target,
-              {{"Host", "ficu95.example"},
-               {"X-Attempt-Id", id},
-               {"X-Deadline-Ms", "3000"}},
-              "", Ms(4'000));
+    Response response = Fetch(deployment_.daemon(daemon).front(), "GET", target,
+                              {{"Host", "ficu95.example"},
+                               {"X-Attempt-Id", id},
+                               {"X-Deadline-Ms", "3000"}},
+                              "", Ms(4'000));
     record_.Line("answer to " + id + " from " +
                  deployment_.daemon(daemon).name() + ": " +
                  std::to_string(response.status) + " " + response.error +
