--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -1,7 +1,7 @@
-// Another writer puts an entry into the list of replicas: fields are missing
-// or of another type. At its address, a server of something else knows none of
-// the paths. Counts the proper requests that are ended with a 4xx which no
-// replica has given.
+// The open channels to the store go silent for good while new ones work. Right
+// after that a replica that never reports `draining` withdraws its entry and
+// goes on serving for a while. Requesters are quiet until the machines are in
+// touch again. Counts the requests that then reach the replica too late.
 #include <atomic>
 #include <iostream>
 #include <memory>
@@ -17,39 +17,37 @@
 constexpr const char* kManifest = R"({"Version":7,"Routes":[
 {"Name":"r-look","Host":"ficu95.example","PathPrefix":"/look/","Kind":"safe",
 "TimeoutMs":3000,"TargetLatencyMs":300,"Priority":1,"Service":"app",
-"MaxAttempts":2,"AllowAnonymous":true},
-{"Name":"r-book","Host":"ficu95.example","PathPrefix":"/book/","Kind":"unsafe",
-"TimeoutMs":3000,"TargetLatencyMs":300,"Priority":1,"Service":"app",
 "MaxAttempts":2,"AllowAnonymous":true}],
 "Services":[{"Name":"app","HealthPath":"/health","MaxConnections":110,
 "Protocol":"h1","Tls":false}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,
 "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]})";
 
-constexpr int kRequests = 600;
-constexpr int kEntryBeforeRequest = 60;
-constexpr Ms kInterval(30);
-/// DENIED: more than 5 + one in 500 of all requests.
-constexpr int kMostDenied = 5 + kRequests / 500;
+constexpr double kContactS = 3.0;
+constexpr double kDrainS = 2.0;
+/// How long the replica serves after its entry was removed.
+constexpr Ms kServesFor(9'000);
+/// Between two requests to each daemon.
+constexpr Ms kInterval(40);
+/// How long requesters are quiet after the channels went silent.
+constexpr double kQuietS = kContactS + 0.05;
+constexpr double kNever = 1e9;
 
 class Case {
  public:
   explicit Case(Record& record)
       : record_(record),
         deployment_(3, kManifest),
-        service_("app", deployment_.store(), record),
-        other_server_(deployment_.Ip(150)) {
+        service_("app", deployment_.store(), record) {
     service_.on_arrival = [this](const Request& request,
                                  const std::string& replica) {
-      record_.Line("request " + request.Get("X-Attempt-Id") + " reaches " +
-                   replica);
+      OnArrival(request, replica);
     };
     for (int i = 0; i < 3; ++i) {
       replicas_.push_back(std::make_unique<PlainReplica>(
           service_, "i-" + std::to_string(i),
           std::string(1, static_cast<char>('a' + i)), deployment_.Ip(100 + i)));
     }
-    other_server_.Start([this](Socket& socket) { ServeOther(socket); });
   }
 
   int Run() {
@@ -57,78 +55,100 @@
       record_.Line("the daemons do not become ready");
       return kExitCannotRun;
     }
-    std::this_thread::sleep_for(Ms(3'500));
-    for (int i = 0; i < kRequests; ++i) {
-      if (i == kEntryBeforeRequest && IsTrouble()) {
-        WriteEntry();
-      }
-      clients_.emplace_back([this, i] { Send(i); });
-      std::this_thread::sleep_for(kInterval);
+    std::this_thread::sleep_for(Ms(4'000));
+    std::vector<std::thread> clients;
+    for (std::size_t i = 0; i < deployment_.size(); ++i) {
+      clients.emplace_back([this, i] { SendRegularly(i); });
     }
-    for (std::thread& client : clients_) {
+    std::this_thread::sleep_for(Ms(3'000));
+    quiet_from_ = record_.Seconds();
+    std::this_thread::sleep_for(Ms(500));
+    in_touch_from_ = record_.Seconds() + kContactS;
+    quiet_until_ = record_.Seconds() + kQuietS;
+    if (IsTrouble()) {
+      record_.Line("the open channels to the store go silent");
+      deployment_.store().SilenceOpenConnections();
+    }
+    std::this_thread::sleep_for(Ms(50));
+    replicas_.front()->Withdraw();
+    withdrawn_at_ = record_.Seconds();
+    std::this_thread::sleep_for(kServesFor);
+    is_ending_ = true;
+    for (std::thread& client : clients) {
       client.join();
     }
     record_.Line("served " + std::to_string(served_.load()) + " of " +
-                 std::to_string(kRequests) + ", ended with a 4xx " +
-                 std::to_string(denied_.load()));
-    if (served_ < kEntryBeforeRequest / 2) {
+                 std::to_string(sent_.load()) + ", at " +
+                 replicas_.front()->id() + " before " +
+                 std::to_string(before_.load()) + ", too late " +
+                 std::to_string(too_late_.load()));
+    if (before_ == 0 || served_ < sent_ / 2) {
       return kExitCannotRun;
     }
-    return denied_ > kMostDenied ? kExitBroken : kExitHeld;
+    return too_late_ > 0 ? kExitBroken : kExitHeld;
   }
 
  private:
-  /// `Version`, `ColdRemainingMs` and `born` are missing, `Slots` is a text.
-  void WriteEntry() {
-    const json::object entry = {{"Service", service_.name},
-                                {"Address", other_server_.address()},
-                                {"Zone", "a"},
-                                {"State", "ready"},
-                                {"Slots", "6"},
-                                {"Sequence", 1}};
-    deployment_.store().Set("servers", "i-other", json::serialize(entry));
-    record_.Line("another writer puts servers/i-other: " +
-                 json::serialize(entry));
-  }
-
-  void ServeOther(Socket& socket) {
-    const auto request = ReadRequest(socket, Ms(10'000));
-    if (request) {
-      record_.Line("request " + request->Get("X-Attempt-Id") +
-                   " reaches the server of the other writer");
-      (void)socket.Write(FormatResponse(404, {}, "not found"));
+  /// `X-Sent-At` is the time at which the requester sent the request.
+  void OnArrival(const Request& request, const std::string& replica) {
+    if (replica != replicas_.front()->id()) {
+      return;
     }
+    const double now = record_.Seconds();
+    const double sent_at = std::stod(request.Get("X-Sent-At"));
+    before_ += now < withdrawn_at_ ? 1 : 0;
+    const bool is_too_late =
+        now > withdrawn_at_ + kDrainS && sent_at >= in_touch_from_;
+    too_late_ += is_too_late ? 1 : 0;
+    record_.Line("request " + request.Get("X-Attempt-Id") + " reaches " +
+                 replica + (is_too_late ? ", too late" : ""));
   }
 
-  void Send(int number) {
-    const bool is_unsafe = number % 3 != 0;
-    const std::string id = "a" + std::to_string(10'000 + number);
-    const auto daemon = static_cast<std::size_t>(number) % deployment_.size();
-    const Response response =
-        Fetch(deployment_.daemon(daemon).front(), is_unsafe ? "POST" : "GET",
-              (is_unsafe ? "/book/" : "/look/") + std::to_string(number),
-              {{"Host", "ficu95.example"},
-               {"X-Attempt-Id", id},
-               {"X-Deadline-Ms", "3000"}},
-              is_unsafe ? "book " + id : "", Ms(4'000));
-    const bool is_sealed = response.fields.contains("x-response-seal");
-    served_ += response.status == 200 && is_sealed ? 1 : 0;
-    const bool is_denied = response.status >= 300 && response.status < 500 &&
-                           response.status != 408 && response.status != 421 &&
-                           response.status != 429;
-    denied_ += is_denied ? 1 : 0;
-    record_.Line("answer to " + id + ": " + std::to_string(response.status) +
-                 " " + response.error + response.body);
+  void SendRegularly(std::size_t daemon) {
+    std::vector<std::thread> clients;
+    while (!is_ending_) {
+      const double now = record_.Seconds();
+      if (now >= quiet_from_ && now < quiet_until_) {
+        std::this_thread::sleep_for(Ms(5));
+        continue;
+      }
+      clients.emplace_back([this, daemon] {
+        const std::string id = "a" + std::to_string(10'000 + ++sent_);
+        const Response response =
+            Fetch(deployment_.daemon(daemon).front(), "GET", "/look/" + id,
+                  {{"Host", "ficu95.example"},
+                   {"X-Attempt-Id", id},
+                   {"X-Sent-At", std::to_string(record_.Seconds())},
+                   {"X-Deadline-Ms", "3000"}},
+                  "", Ms(4'000));
+        served_ += response.status == 200 ? 1 : 0;
+        if (response.status != 200) {
+          record_.Line("answer to " + id + ": " +
+                       std::to_string(response.status) + " " + response.error +
+                       response.body);
+        }
+      });
+      std::this_thread::sleep_for(kInterval);
+    }
+    for (std::thread& client : clients) {
+      client.join();
+    }
   }
 
   Record& record_;
   Deployment deployment_;
   PlainService service_;
-  Server other_server_;
   std::vector<std::unique_ptr<PlainReplica>> replicas_;
-  std::vector<std::thread> clients_;
+  /// Times in which no requests are sent.
+  std::atomic<double> quiet_from_{kNever};
+  std::atomic<double> quiet_until_{kNever};
+  std::atomic<double> in_touch_from_{0};
+  std::atomic<double> withdrawn_at_{kNever};
+  std::atomic<bool> is_ending_{false};
+  std::atomic<int> sent_{0};
   std::atomic<int> served_{0};
-  std::atomic<int> denied_{0};
+  std::atomic<int> before_{0};
+  std::atomic<int> too_late_{0};
 };
 
 }  // namespace
