--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -49,9 +49,10 @@
                                const std::string& replica) {
       OnArrival(request, replica);
     };
-    model_.crashes = [this](const Request& request) {
-      return OnFirstToken(request);
+    model_.crashes = [](const Request& request) {
+      return IsBad(request) && IsTrouble();
     };
+    model_.on_crash = [this](const std::string&) { OnCrash(); };
     for (int i = 0; i < 6; ++i) {
       const std::string zone(1, static_cast<char>('a' + i / 2));
       replicas_.push_back(std::make_unique<ModelReplica>(
@@ -109,15 +110,9 @@
                  request.Get("X-Router-Hops") + (is_late ? ", late" : ""));
   }
 
-  bool OnFirstToken(const Request& request) {
-    if (!IsBad(request) || !IsTrouble()) {
-      return false;
-    }
+  void OnCrash() {
     const std::lock_guard lock(mutex_);
     crashes_.push_back(record_.Seconds());
-    record_.Line("crash " + std::to_string(crashes_.size()) + " by request " +
-                 request.Get("X-Attempt-Id"));
-    return true;
   }
 
   Response Send(const std::string& part, int number, std::size_t daemon) {
--- a/review/support-3/model_replica.h
+++ b/review/support-3/model_replica.h
@@ -56,6 +56,8 @@
   /// Time of a token.
   Ms token_time{10};
   int slots = 192;
+  /// Whether streams come with neither a length nor chunks.
+  bool is_unframed = false;
 };
 
 class ModelReplica;
@@ -72,6 +74,8 @@
   /// Called when a replica is about to return the first token of a request;
   /// whether it crashes.
   std::function<bool(const Request&)> crashes;
+  /// Called when a replica has crashed.
+  std::function<void(const std::string& replica)> on_crash;
   /// Called when a request reaches the first replica of its path.
   std::function<void(const Request&, const std::string& replica)> on_arrival;
 };
@@ -119,6 +123,9 @@
       return;
     }
     model_.record.Line("replica " + id_ + " crashes");
+    if (model_.on_crash) {
+      model_.on_crash(id_);
+    }
     if (lifecycle_.joinable()) {
       lifecycle_.join();
     }
@@ -378,7 +385,9 @@
       if (!is_up_ || socket.HasEnded()) {
         return;
       }
-      if (event == first && model_.crashes && model_.crashes(request)) {
+      // An unframed answer is begun with its first event.
+      const int crash_at = first + (model_.options.is_unframed ? 1 : 0);
+      if (event == crash_at && model_.crashes && model_.crashes(request)) {
         ModelReplica* last = hops.empty() ? this : StageAt(hops.back().address);
         if (last != nullptr) {
           last->Crash(Ms(3'000));
@@ -406,15 +415,20 @@
             "\r\nX-Weight-Versions: 1\r\nX-Replica-Load: " +
             std::to_string(running_) + ",0," +
             std::to_string(model_.options.slots) +
-            "\r\nTransfer-Encoding: chunked\r\n\r\n";
+            (model_.options.is_unframed
+                 ? "\r\nConnection: close\r\n\r\n"
+                 : "\r\nTransfer-Encoding: chunked\r\n\r\n");
       }
-      bytes += Chunk("id: " + std::to_string(event) + "\ndata: t" +
-                     std::to_string(event) + "\n\n");
+      const std::string text = "id: " + std::to_string(event) + "\ndata: t" +
+                               std::to_string(event) + "\n\n";
+      bytes += model_.options.is_unframed ? text : Chunk(text);
       if (!socket.Write(bytes)) {
         return;
       }
     }
-    (void)socket.Write("0\r\n\r\n");
+    if (!model_.options.is_unframed) {
+      (void)socket.Write("0\r\n\r\n");
+    }
   }
 
   Model& model_;
